Add the design, record types and the fold

Cause: entry instances keep nothing, so all that must last has to be agreed in the platform's log, and every instance needs the same state at one offset.

Ruled out: a scheduler inside the fold (two versions would diverge) and a leader elected by a lock record (a paused leader stops urgent work).

Change: docs/design.md; record (batches, bodies, CBOR codec), shape, and state (the fold with accounts, guarantee blocks, jobs, claims, members).

--- /dev/null
+++ b/record/batch.go
@@ -0,0 +1,74 @@
+package record
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the program's version of the fold; a batch with a higher Reader
+// cannot be folded by this program.
+const Version = 1
+
+// Limits of one batch.
+const (
+	MaxBatchBytes   = 256 << 10
+	MaxBatchRecords = 1000
+)
+
+// Batch is one entry of the log: the records that one instance appended at
+// once.
+type Batch struct {
+	Writer  string   `cbor:"writer" json:"writer"`             // incarnation of the instance
+	Seq     uint64   `cbor:"seq" json:"seq"`                   // 1, 2, 3, ... for each writer
+	At      int64    `cbor:"at" json:"at"`                     // writer's clock, Unix milliseconds
+	Snap    uint64   `cbor:"snap,omitempty" json:"snap"`       // offset of the last chunk of the newest known snapshot, plus one
+	Reader  uint16   `cbor:"reader,omitempty" json:"reader"`   // lowest Version that can fold this batch
+	Records []Record `cbor:"records,omitempty" json:"records"` // in order
+}
+
+// Record is one proposal; Body holds the kind's struct in CBOR.
+type Record struct {
+	Kind Kind            `cbor:"kind" json:"kind"`
+	ID   string          `cbor:"id,omitempty" json:"id"` // unique, chosen by the proposer
+	Body cbor.RawMessage `cbor:"body,omitempty" json:"body"`
+}
+
+// Kind names a type of record.
+type Kind string
+
+// Kinds of records.
+const (
+	KindJoin    Kind = "join"
+	KindLeave   Kind = "leave"
+	KindEvict   Kind = "evict"
+	KindPublish Kind = "publish"
+	KindSubmit  Kind = "submit"
+	KindCancel  Kind = "cancel"
+	KindPlace   Kind = "place"
+	KindStart   Kind = "start"
+	KindAbort   Kind = "abort"
+	KindPreempt Kind = "preempt"
+	KindReport  Kind = "report"
+	KindHealth  Kind = "health"
+	KindReserve Kind = "reserve"
+	KindClaim   Kind = "claim"
+	KindSettle  Kind = "settle"
+	KindChunk   Kind = "chunk"
+	KindFence   Kind = "fence"
+)
+
+// Class returns the order in which the batcher takes records when the log is
+// slow: 0 first.
+func (k Kind) Class() int {
+	switch k {
+	case KindJoin, KindLeave, KindEvict, KindPublish, KindCancel, KindFence:
+		return 0
+	case KindStart, KindAbort, KindPlace, KindPreempt, KindHealth, KindReserve:
+		return 1
+	case KindClaim, KindSettle, KindSubmit:
+		return 2
+	case KindReport:
+		return 3
+	default:
+		return 4
+	}
+}
--- /dev/null
+++ b/record/codec.go
@@ -0,0 +1,130 @@
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// DecodeError reports bytes that are not a valid batch or body.
+type DecodeError struct {
+	What string // batch, or the record's kind
+	Err  error
+}
+
+// Error describes what could not be decoded.
+func (e *DecodeError) Error() string { return fmt.Sprintf("decode %s: %v", e.What, e.Err) }
+
+// Unwrap returns the codec's error.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// SizeError reports a batch beyond MaxBatchBytes or MaxBatchRecords.
+type SizeError struct {
+	Bytes   int
+	Records int
+}
+
+// Error describes the size and the limits.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("batch of %d bytes and %d records; at most %d and %d", e.Bytes, e.Records, MaxBatchBytes, MaxBatchRecords)
+}
+
+// New returns a record of the kind with the body encoded.
+func New[T any](kind Kind, id string, body T) (Record, error) {
+	data, err := encMode.Marshal(body)
+	if err != nil {
+		return Record{}, &DecodeError{string(kind), err}
+	}
+	return Record{Kind: kind, ID: id, Body: data}, nil
+}
+
+// Body decodes a record's body; it fails with *DecodeError.
+func Body[T any](r Record) (T, error) {
+	var body T
+	if err := decMode.Unmarshal(r.Body, &body); err != nil {
+		return body, &DecodeError{string(r.Kind), err}
+	}
+	return body, nil
+}
+
+// Encode returns the batch in CBOR; it fails with *SizeError when the batch
+// exceeds the limits.
+func Encode(b *Batch) ([]byte, error) {
+	data, err := encMode.Marshal(b)
+	if err != nil {
+		return nil, &DecodeError{"batch", err}
+	}
+	if len(data) > MaxBatchBytes || len(b.Records) > MaxBatchRecords {
+		return nil, &SizeError{len(data), len(b.Records)}
+	}
+	return data, nil
+}
+
+// Decode reads a batch in CBOR; it fails with *SizeError or *DecodeError.
+func Decode(data []byte) (*Batch, error) {
+	if len(data) > MaxBatchBytes {
+		return nil, &SizeError{Bytes: len(data)}
+	}
+	var b Batch
+	if err := decMode.Unmarshal(data, &b); err != nil {
+		return nil, &DecodeError{"batch", err}
+	}
+	if len(b.Records) > MaxBatchRecords {
+		return nil, &SizeError{len(data), len(b.Records)}
+	}
+	return &b, nil
+}
+
+// Marshal encodes any value with the log's deterministic CBOR encoding.
+func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
+
+// Unmarshal decodes what Marshal encoded.
+func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
+
+// JSON returns the batch as indented JSON with its bodies decoded, for
+// operators; unknown kinds keep their bodies as CBOR diagnostic text.
+func JSON(b *Batch) ([]byte, error) {
+	type row struct {
+		Kind Kind   `json:"kind"`
+		ID   string `json:"id,omitempty"`
+		Body any    `json:"body,omitempty"`
+	}
+	out := struct {
+		Writer  string `json:"writer"`
+		Seq     uint64 `json:"seq"`
+		At      int64  `json:"at"`
+		Snap    uint64 `json:"snap,omitempty"`
+		Reader  uint16 `json:"reader,omitempty"`
+		Records []row  `json:"records"`
+	}{b.Writer, b.Seq, b.At, b.Snap, b.Reader, nil}
+	for _, r := range b.Records {
+		text, err := cbor.Diagnose(r.Body)
+		if err != nil {
+			return nil, &DecodeError{string(r.Kind), err}
+		}
+		out.Records = append(out.Records, row{r.Kind, r.ID, text})
+	}
+	return json.MarshalIndent(out, "", "  ")
+}
--- /dev/null
+++ b/state/doc.go
@@ -0,0 +1,3 @@
+// Package state is the deterministic fold over the log: instances that have
+// applied the same entries hold the same State.
+package state
--- /dev/null
+++ b/state/image.go
@@ -0,0 +1,263 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+)
+
+// Image is the whole state as plain sorted data, which a snapshot encodes.
+type Image struct {
+	Offset   uint64         `cbor:"offset"`
+	Now      int64          `cbor:"now"`
+	Chain    uint64         `cbor:"chain"`
+	Snap     uint64         `cbor:"snap"`
+	Swept    int64          `cbor:"swept"`
+	Members  []*Member      `cbor:"members"`
+	Writers  []*Writer      `cbor:"writers"`
+	Configs  []*Config      `cbor:"configs"`
+	Accounts []accountImage `cbor:"accounts"`
+	Domains  []string       `cbor:"domains"`
+	Racks    []rackImage    `cbor:"racks"`
+	Workers  []workerImage  `cbor:"workers"`
+	Jobs     []jobImage     `cbor:"jobs"`
+	Claims   []*Claim       `cbor:"claims"`
+	Refused  []countImage   `cbor:"refused"`
+}
+
+type accountImage struct {
+	Name     string   `cbor:"name"`
+	Revision uint64   `cbor:"rev"`
+	Used     int      `cbor:"used"`
+	Blocks   []*Block `cbor:"blocks"`
+}
+
+type rackImage struct {
+	Name   string `cbor:"name"`
+	Domain int    `cbor:"domain"`
+}
+
+type workerImage struct {
+	Name      string           `cbor:"name"`
+	Addr      string           `cbor:"addr"`
+	Rack      int              `cbor:"rack"`
+	GPUs      int              `cbor:"gpus"`
+	Cores     float64          `cbor:"cores"`
+	Memory    float64          `cbor:"memory"`
+	Condition record.Condition `cbor:"cond"`
+	Revision  uint64           `cbor:"rev"`
+	Since     int64            `cbor:"since"`
+	Gone      bool             `cbor:"gone"`
+	Tasks     []taskImage      `cbor:"tasks"`
+	Blocks    []blockRef       `cbor:"blocks"` // order of Worker.Blocks
+}
+
+type taskImage struct {
+	Job   string     `cbor:"job"`
+	Token uint64     `cbor:"token"`
+	Mask  shape.Mask `cbor:"mask"`
+	Phase TaskPhase  `cbor:"phase"`
+	Grace int64      `cbor:"grace,omitempty"`
+}
+
+type blockRef struct {
+	Account string `cbor:"account"`
+	Promise int    `cbor:"promise"`
+	Copy    int    `cbor:"copy"`
+}
+
+type jobImage struct {
+	Spec       record.Submit `cbor:"spec"`
+	Phase      JobPhase      `cbor:"phase"`
+	Revision   uint64        `cbor:"rev"`
+	Token      uint64        `cbor:"token"`
+	Slots      []shape.Slot  `cbor:"slots"`
+	Guaranteed bool          `cbor:"guaranteed"`
+	Pending    int           `cbor:"pending"`
+	Submitted  int64         `cbor:"submitted"`
+	Changed    int64         `cbor:"changed"`
+	Started    int64         `cbor:"started"`
+	Starts     int           `cbor:"starts"`
+	Failures   int           `cbor:"failures"`
+	FailedOn   []uint32      `cbor:"failedon"`
+	Progress   float64       `cbor:"progress"`
+	Lost       int64         `cbor:"lost"`
+	Cause      string        `cbor:"cause"`
+}
+
+type countImage struct {
+	Reason Reason `cbor:"reason"`
+	Count  uint64 `cbor:"count"`
+}
+
+// Image returns the state as plain data; it shares memory with the state.
+func (s *State) Image() *Image {
+	im := &Image{
+		Offset: s.Offset, Now: s.Now, Chain: s.Chain, Snap: s.Snap, Swept: s.lastSweep,
+		Members: s.Members,
+		Writers: sorted(s.Writers, func(w *Writer) string { return w.ID }),
+		Configs: sorted(s.Configs, func(c *Config) string { return c.Name }),
+		Claims:  sorted(s.Claims, func(c *Claim) string { return c.Request }),
+	}
+	for _, a := range sorted(s.Accounts, func(a *Account) string { return a.Name }) {
+		im.Accounts = append(im.Accounts, accountImage{a.Name, a.Revision, a.Used, a.Blocks})
+	}
+	for _, d := range s.Domains {
+		im.Domains = append(im.Domains, d.Name)
+	}
+	for _, r := range s.Racks {
+		im.Racks = append(im.Racks, rackImage{r.Name, r.Domain.Index})
+	}
+	for _, w := range s.Workers {
+		wi := workerImage{
+			Name: w.Name, Addr: w.Addr, Rack: w.Rack.Index, GPUs: w.GPUs, Cores: w.Cores, Memory: w.Memory,
+			Condition: w.Condition, Revision: w.Revision, Since: w.Since, Gone: w.Gone,
+		}
+		for _, t := range w.Tasks {
+			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace})
+		}
+		for _, b := range w.Blocks {
+			wi.Blocks = append(wi.Blocks, blockRef{b.Account, b.Promise, b.Copy})
+		}
+		im.Workers = append(im.Workers, wi)
+	}
+	for _, j := range sorted(s.Jobs, func(j *Job) string { return j.ID }) {
+		im.Jobs = append(im.Jobs, jobImage{
+			Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
+			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
+			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
+			Progress: j.Progress, Lost: j.Lost, Cause: j.Cause,
+		})
+	}
+	for r, n := range s.Refused {
+		im.Refused = append(im.Refused, countImage{r, n})
+	}
+	slices.SortFunc(im.Refused, func(a, b countImage) int { return cmp.Compare(a.Reason, b.Reason) })
+	return im
+}
+
+func sorted[T any](m map[string]*T, key func(*T) string) []*T {
+	out := make([]*T, 0, len(m))
+	for _, v := range m {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b *T) int { return cmp.Compare(key(a), key(b)) })
+	return out
+}
+
+// ImageError reports an image that does not form a state.
+type ImageError struct {
+	What string
+}
+
+// Error describes what does not fit.
+func (e *ImageError) Error() string { return "snapshot image: " + e.What }
+
+// Load builds the state that the image was taken from; it fails with
+// *ImageError. The state takes over the image's memory.
+func Load(im *Image) (*State, error) {
+	s := &State{Offset: im.Offset, Now: im.Now, Chain: im.Chain, Snap: im.Snap, lastSweep: im.Swept, Members: im.Members}
+	s.init()
+	for _, w := range im.Writers {
+		s.Writers[w.ID] = w
+	}
+	for _, c := range im.Configs {
+		s.Configs[c.Name] = c
+	}
+	for _, c := range im.Claims {
+		s.Claims[c.Request] = c
+	}
+	for _, c := range im.Refused {
+		s.Refused[c.Reason] = c.Count
+	}
+	if err := s.loadWorkers(im); err != nil {
+		return nil, err
+	}
+	for _, j := range im.Jobs {
+		s.Jobs[j.Spec.Job] = &Job{
+			ID: j.Spec.Job, Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
+			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
+			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
+			Progress: j.Progress, Lost: j.Lost, Cause: j.Cause,
+		}
+	}
+	if err := s.loadAccounts(im); err != nil {
+		return nil, err
+	}
+	return s, s.loadTasks(im)
+}
+
+func (s *State) loadWorkers(im *Image) error {
+	for i, name := range im.Domains {
+		s.Domains = append(s.Domains, &Domain{Index: i, Name: name})
+	}
+	for i, ri := range im.Racks {
+		if ri.Domain < 0 || ri.Domain >= len(s.Domains) {
+			return &ImageError{"rack " + ri.Name + " has no domain"}
+		}
+		r := &Rack{Index: i, Name: ri.Name, Domain: s.Domains[ri.Domain]}
+		s.Racks = append(s.Racks, r)
+		r.Domain.Racks = append(r.Domain.Racks, r)
+	}
+	for i, wi := range im.Workers {
+		if wi.Rack < 0 || wi.Rack >= len(s.Racks) {
+			return &ImageError{"worker " + wi.Name + " has no rack"}
+		}
+		w := &Worker{
+			Index: uint32(i), Name: wi.Name, Addr: wi.Addr, Rack: s.Racks[wi.Rack], GPUs: wi.GPUs, Cores: wi.Cores,
+			Memory: wi.Memory, Condition: wi.Condition, Revision: wi.Revision, Since: wi.Since, Gone: wi.Gone,
+		}
+		s.Workers = append(s.Workers, w)
+		s.workerByName[w.Name] = w
+		w.Rack.Workers = append(w.Rack.Workers, w)
+	}
+	return nil
+}
+
+func (s *State) loadAccounts(im *Image) error {
+	for _, ai := range im.Accounts {
+		c := s.Configs["account/"+ai.Name]
+		if c == nil {
+			return &ImageError{"account " + ai.Name + " has no configuration"}
+		}
+		a, err := parseAccount(c.Body)
+		if err != nil {
+			return &ImageError{"account " + ai.Name + ": " + err.Error()}
+		}
+		a.Name, a.Revision, a.Used, a.Blocks = ai.Name, ai.Revision, ai.Used, ai.Blocks
+		s.Accounts[a.Name] = a
+		for _, b := range a.Blocks {
+			for _, sl := range b.Slots {
+				if s.worker(sl.Worker) == nil {
+					return &ImageError{"block of account " + a.Name + " has no worker"}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (s *State) loadTasks(im *Image) error {
+	for i, wi := range im.Workers {
+		w := s.Workers[i]
+		for _, ti := range wi.Tasks {
+			j := s.Jobs[ti.Job]
+			if j == nil {
+				return &ImageError{fmt.Sprintf("task of worker %s has no job %s", w.Name, ti.Job)}
+			}
+			w.Tasks = append(w.Tasks, &Task{Job: j, Token: ti.Token, Mask: ti.Mask, Phase: ti.Phase, Grace: ti.Grace})
+		}
+		for _, ref := range wi.Blocks {
+			b := findBlock(s.Accounts[ref.Account], ref.Promise, ref.Copy)
+			if b == nil {
+				return &ImageError{"worker " + w.Name + " names a block that does not exist"}
+			}
+			w.Blocks = append(w.Blocks, b)
+		}
+		s.recount(w)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/member.go
@@ -0,0 +1,69 @@
+package state
+
+import (
+	"slices"
+	"strings"
+
+	"jasminelane.example/lane/record"
+)
+
+// Member returns the live member with the writer identity, or nil.
+func (s *State) Member(writer string) *Member {
+	for _, m := range s.Members {
+		if m.Writer == writer {
+			return m
+		}
+	}
+	return nil
+}
+
+func (s *State) join(b *record.Batch, j record.Join) (Reason, string) {
+	if j.Name == "" {
+		return ReasonField, "name"
+	}
+	for _, c := range s.Configs {
+		if c.Reader > j.Version {
+			return ReasonUpgrade, c.Name
+		}
+	}
+	if s.Member(b.Writer) != nil {
+		return ReasonExists, b.Writer
+	}
+	// A new incarnation replaces the older one of the same instance.
+	for _, m := range s.Members {
+		if m.Name == j.Name {
+			s.removeMember(m.Writer)
+			break
+		}
+	}
+	s.Members = append(s.Members, &Member{
+		Writer: b.Writer, Name: j.Name, Addr: j.Addr, Domain: j.Domain,
+		Version: j.Version, Joined: s.Offset - 1, At: s.Now,
+	})
+	slices.SortFunc(s.Members, func(a, b *Member) int { return strings.Compare(a.Writer, b.Writer) })
+	return "", ""
+}
+
+func (s *State) leave(writer string) (Reason, string) {
+	if s.Member(writer) == nil {
+		return ReasonUnknown, writer
+	}
+	s.removeMember(writer)
+	return "", ""
+}
+
+func (s *State) evictMember(e record.Evict) (Reason, string) {
+	if s.Member(e.Writer) == nil {
+		return ReasonUnknown, e.Writer
+	}
+	s.removeMember(e.Writer)
+	return "", ""
+}
+
+// removeMember fences the writer, so that nothing it still sends takes effect.
+func (s *State) removeMember(writer string) {
+	s.Members = slices.DeleteFunc(s.Members, func(m *Member) bool { return m.Writer == writer })
+	if w := s.Writers[writer]; w != nil {
+		w.Fenced = true
+	}
+}
