Add settings and metrics

Cause: a mistake in a settings file has to be found before the instance takes work, and two instances in one process must not share counters.

Ruled out: the global expvar registry, because publishing a name twice panics; stopping at the first error, because an operator far away then fixes one mistake for each restart.

Change: settings (INI, every error at once with file, section, key, value and what is allowed; two documented examples), metric (expvar maps per instance).

Conclusion: table tests and a fuzz seed run pass.

--- /dev/null
+++ b/metric/metric_test.go
@@ -0,0 +1,28 @@
+package metric
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against counters that mix between instances of one process.
+func TestSetsAreSeparate(t *testing.T) {
+	is := is.New(t)
+	var a, b Set
+	a.Refuse("request", "overload")
+	a.Refuse("request", "overload")
+	b.Gauge("offset", func() any { return 7 })
+	read := func(s *Set) map[string]any {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, nil)
+		var out map[string]any
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &out))
+		return out
+	}
+	is.Equal(read(&a)["refused"].(map[string]any)["request.overload"], 2.0)
+	is.Equal(len(read(&b)["refused"].(map[string]any)), 0)
+	is.Equal(read(&b)["offset"], 7.0)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const minimal = `
+[instance]
+name = e1
+domain = kochi
+peers = 127.0.0.1:7001
+callers = 127.0.0.1:8001
+operators = 127.0.0.1:9001
+[platform]
+log = http://127.0.0.1:6000
+list = http://127.0.0.1:6000
+[operator.desk]
+token = 0123456789abcdef
+`
+
+// Guards against examples that a new user cannot start from.
+func TestExamples(t *testing.T) {
+	paths, err := filepath.Glob("../examples/*.ini")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(len(paths), 2)
+	for _, p := range paths {
+		t.Run(filepath.Base(p), func(t *testing.T) {
+			is := is.New(t)
+			s, err := Read(p)
+			is.NoErr(err)
+			is.Equal(len(s.Accounts), 4)
+		})
+	}
+}
+
+// Guards against settings that are half applied or reported one error at a
+// time.
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string // section and key of each error
+	}{
+		{"minimal", minimal, nil},
+		{"empty", "", []string{"instance name", "instance domain", "instance peers", "instance callers", "instance operators", "platform log", "platform list", "operator.NAME token"}},
+		{"unknown key", minimal + "[times]\nlesse = 5s\n", []string{"times lesse"}},
+		{"unknown section", minimal + "[tines]\nlease = 5s\n", []string{"tines lease"}},
+		{"two errors", minimal + "[times]\nlease = soon\n[limits]\nbody = -1\n", []string{"limits body", "times lease", "times sync"}},
+		{"sync beyond lease", minimal + "[times]\nlease = 6s\nsync = 5s\n", []string{"times sync"}},
+		{"short token", minimal + "[account.asha]\ntoken = short\n", []string{"account.asha token"}},
+		{"token twice", minimal + "[operator.night]\ntoken = 0123456789abcdef\n", []string{"operator.night token"}},
+		{"key twice", strings.Replace(minimal, "name = e1", "name = e1\nname = e2", 1), []string{"instance name"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("test.ini", []byte(tt.text))
+			var ce *CheckError
+			if tt.want == nil {
+				is.NoErr(err)
+				return
+			}
+			is.True(errors.As(err, &ce))
+			var got []string
+			for _, k := range ce.Keys {
+				got = append(got, k.Section+" "+k.Key)
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// Guards against secrets in error messages.
+func TestErrorHidesSecret(t *testing.T) {
+	_, err := Parse("test.ini", []byte(minimal+"[account.asha]\ntoken = hunter2\n"))
+	is.New(t).True(err != nil && !strings.Contains(err.Error(), "hunter2"))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimal))
+	example, err := os.ReadFile("../examples/chirakkal.ini")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz.ini", data)
+		if (s == nil) == (err == nil) {
+			t.Fatal("want settings or an error")
+		}
+	})
+}
