--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,187 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Exit codes that scripts can rely on.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // anything else
+	ExitUsage       = 2 // wrong arguments
+	ExitRefused     = 3 // refused, certainly not carried out
+	ExitUnknown     = 4 // may have been carried out
+	ExitUnreachable = 5 // no answer from the instance
+	ExitExpectation = 6 // a replay or demo did not end as stated
+	ExitInvalid     = 7 // a checked file is not valid
+)
+
+// Tool is one run of the command line tool.
+type Tool struct {
+	Out io.Writer
+	Err io.Writer
+	Env func(string) string // looks up LANE_OPERATOR, LANE_CALLER and LANE_TOKEN
+}
+
+// command is a subcommand. Its flags are defined on the set that run gets.
+type command struct {
+	name    string
+	args    string
+	short   string
+	example string
+	run     func(t *Tool, f *flags) error
+}
+
+// flags are a subcommand's flag set with what every subcommand shares.
+type flags struct {
+	*flag.FlagSet
+	ctx      context.Context
+	args     []string
+	operator string
+	caller   string
+	token    string
+	output   string
+}
+
+// UsageError reports wrong arguments.
+type UsageError struct{ Reason string }
+
+// Error describes what is wrong with the arguments.
+func (e *UsageError) Error() string { return e.Reason }
+
+// exitError carries the exit code that a failure stands for.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// Main runs the subcommand that the arguments name and returns the exit code.
+func (t *Tool) Main(ctx context.Context, args []string) int {
+	if len(args) == 0 || args[0] == "-h" || args[0] == "help" || args[0] == "--help" {
+		t.usage()
+		if len(args) == 0 {
+			return ExitUsage
+		}
+		return ExitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return t.exit(t.call(ctx, c, args[1:]))
+		}
+	}
+	fmt.Fprintf(t.Err, "lane: no subcommand %q; lane help lists them\n", args[0])
+	return ExitUsage
+}
+
+func (t *Tool) exit(err error) int {
+	var usage *UsageError
+	var exit *exitError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintf(t.Err, "lane: %s\n", usage.Reason)
+		return ExitUsage
+	case errors.As(err, &exit):
+		fmt.Fprintf(t.Err, "lane: %v\n", err)
+		return exit.code
+	default:
+		fmt.Fprintf(t.Err, "lane: %v\n", err)
+		return ExitFailed
+	}
+}
+
+func (t *Tool) call(ctx context.Context, c command, args []string) error {
+	f := &flags{FlagSet: flag.NewFlagSet(c.name, flag.ContinueOnError), ctx: ctx, args: args}
+	f.SetOutput(t.Err)
+	f.Usage = func() {
+		fmt.Fprintf(t.Err, "usage: lane %s [flags] %s\n\n%s\n\nexample:\n  %s\n\nflags:\n", c.name, c.args, c.short, c.example)
+		f.PrintDefaults()
+	}
+	f.StringVar(&f.operator, "operator", t.env("LANE_OPERATOR", "http://127.0.0.1:9001"), "base URL of an instance's operators' address; LANE_OPERATOR")
+	f.StringVar(&f.caller, "caller", t.env("LANE_CALLER", "http://127.0.0.1:8001"), "base URL of an instance's callers' address; LANE_CALLER")
+	f.StringVar(&f.token, "token", t.env("LANE_TOKEN", ""), "bearer token; better given in LANE_TOKEN, since arguments show in process lists")
+	f.StringVar(&f.output, "o", "table", "output: table or json")
+	return c.run(t, f)
+}
+
+// parse reads the subcommand's flags and wants n arguments after them; n < 0
+// allows any number. Flags may stand before or after the arguments.
+func (f *flags) parse(n int) error {
+	var rest []string
+	args := f.args
+	for {
+		if err := f.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return err
+			}
+			return &UsageError{err.Error()}
+		}
+		if f.NArg() == 0 {
+			break
+		}
+		rest = append(rest, f.Arg(0))
+		args = f.Args()[1:]
+	}
+	f.args = rest
+	if f.output != "table" && f.output != "json" {
+		return &UsageError{fmt.Sprintf("-o %s: want table or json", f.output)}
+	}
+	if n >= 0 && len(rest) != n {
+		return &UsageError{fmt.Sprintf("%s wants %d arguments, got %d; lane %s -h shows an example", f.Name(), n, len(rest), f.Name())}
+	}
+	return nil
+}
+
+func (t *Tool) env(key, fallback string) string {
+	if t.Env != nil {
+		if v := t.Env(key); v != "" {
+			return v
+		}
+	}
+	return fallback
+}
+
+func (t *Tool) usage() {
+	var b strings.Builder
+	b.WriteString("lane operates and calls jasminelane.\n\nusage: lane SUBCOMMAND [flags] [arguments]\n\n")
+	for _, c := range commands() {
+		fmt.Fprintf(&b, "  %-10s %s\n", c.name, c.short)
+	}
+	b.WriteString("\nexit codes: 0 done, 1 failed, 2 usage, 3 refused and not carried out, 4 unknown fate,\n" +
+		"5 unreachable, 6 a replay or demo did not end as stated, 7 a checked file is not valid\n")
+	fmt.Fprint(t.Out, b.String())
+}
+
+func commands() []command {
+	return []command{
+		{"check", "FILE", "check a settings file (.ini) or a configuration record (.json) without applying it", "lane check -name account/asha asha.json", runCheck},
+		{"publish", "FILE", "publish a configuration record and report where it is in force", "lane publish -name account/asha -base 17 asha.json", runPublish},
+		{"remove", "NAME", "remove a configuration record", "lane remove -base 17 account/asha", runRemove},
+		{"config", "[NAME]", "show configuration records", "lane config account/asha", runConfig},
+		{"accounts", "", "show client accounts: guarantees, use and what is lent", "lane accounts", runAccounts},
+		{"jobs", "", "show jobs and why each waits", "lane jobs -phase waiting", runJobs},
+		{"job", "ID", "show one job and what would have to change for it to run", "lane job sheet-7", runJob},
+		{"workers", "", "show workers", "lane workers", runWorkers},
+		{"aside", "WORKER", "set a worker aside: nothing new is placed there", "lane aside kochi-r1-w3", runAside},
+		{"return", "WORKER", "return a worker to service", "lane return kochi-r1-w3", runReturn},
+		{"instances", "", "show live instances and how far each has read the log", "lane instances", runInstances},
+		{"status", "", "show one instance's view: offset, digest, refusals", "lane status", runStatus},
+		{"drain", "", "shut one instance down gracefully", "lane drain -operator http://127.0.0.1:9002", runDrain},
+		{"kill", "ID", "cancel a job as an operator", "lane kill sheet-7", runKill},
+		{"submit", "ID", "submit a job as a caller", "lane submit -shape 4x2@rack -kind sheet sheet-7", runSubmit},
+		{"watch", "ID", "wait until a job has ended and print its fate", "lane watch -timeout 1m sheet-7", runWatch},
+		{"cancel", "ID", "cancel a job as a caller", "lane cancel sheet-7", runCancel},
+		{"request", "SERVICE BODY", "send a request to a service", "lane request -once badges 'print sheet 7'", runRequest},
+		{"replay", "TRACE...", "replay recorded traces through the product and the naive baseline", "lane replay trace/testdata/*.trace", runReplay},
+		{"demo", "[FILE...]", "run stand-ins and three instances in this process and play an input through", "lane demo", runDemo},
+	}
+}
--- /dev/null
+++ b/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli is the command line tool for operators and callers.
+package cli
