--- /dev/null
+++ b/standin/directory.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"jasminelane.example/lane/platform"
+)
+
+// Directory is a stand-in for the platform's list of instances. The zero value
+// lists none. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.Mutex
+	versions []directoryVersion // in order of time, the newest last
+	slow     int64
+	lag      int64
+	down     bool
+	frozen   []platform.Instance // answered while freeze is set
+	freeze   bool
+}
+
+type directoryVersion struct {
+	at   time.Time
+	list []platform.Instance
+}
+
+// ServeHTTP answers GET /instances, PUT /instances (the whole list) and POST
+// /fault.
+func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "POST /fault":
+		serveFault(w, r, d.Fault)
+	case "PUT /instances":
+		var list []platform.Instance
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		d.Set(list)
+		w.WriteHeader(http.StatusNoContent)
+	case "GET /instances":
+		d.list(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// Set replaces the list, which becomes visible after the injected lag.
+func (d *Directory) Set(list []platform.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions = append(d.versions, directoryVersion{time.Now(), slices.Clone(list)})
+	// An hour bounds the lag that can be injected.
+	for len(d.versions) > 1 && time.Since(d.versions[1].at) > time.Hour {
+		d.versions = d.versions[1:]
+	}
+}
+
+// Fault changes the injected failures.
+func (d *Directory) Fault(f DirectoryFault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	set(&d.slow, f.Slow)
+	set(&d.lag, f.Lag)
+	set(&d.down, f.Down)
+	if f.Freeze != nil {
+		if *f.Freeze && !d.freeze {
+			d.frozen = d.visible()
+		}
+		d.freeze = *f.Freeze
+	}
+}
+
+func (d *Directory) list(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	slow := time.Duration(d.slow) * time.Millisecond
+	d.mu.Unlock()
+	if !pause(r, slow) {
+		return
+	}
+	d.mu.Lock()
+	down, list := d.down, d.visible()
+	if d.freeze {
+		list = d.frozen
+	}
+	d.mu.Unlock()
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// visible returns the newest list that is older than the lag, never nil.
+func (d *Directory) visible() []platform.Instance {
+	limit := time.Now().Add(-time.Duration(d.lag) * time.Millisecond)
+	for _, v := range slices.Backward(d.versions) {
+		if !v.at.After(limit) {
+			return v.list
+		}
+	}
+	return []platform.Instance{}
+}
