Add the worker protocol, the keeper, the gang starter and a stand-in

Cause: nothing yet talks to workers, so a placed job never runs. Ruled out: telling members to run directly after the start record. A member that lost its hold while the start was in the log would then be missed while the others run. Change: a started gang is first armed on all workers and told to run only when every member is armed. The start record binds the start to the incarnations of the workers that held (field boots), so a restarted worker refuses to run. The state gains Wants, Starting and Worker.Edition, which the keeper and the starter need; no name changed. Nothing is optimised yet. Conclusion: thin version that works; faults are not yet tested.

--- a/record/body.go
+++ b/record/body.go
@@ -76,10 +76,13 @@
 	Token uint64 `cbor:"token" json:"token"`
 }
 
-// Start lets a job run whose members all hold.
+// Start lets a job run whose members all hold. Boots binds the start to the
+// incarnations of the workers that hold: a worker that was restarted since
+// refuses to run.
 type Start struct {
-	Job   string `cbor:"job" json:"job"`
-	Token uint64 `cbor:"token" json:"token"`
+	Job   string   `cbor:"job" json:"job"`
+	Token uint64   `cbor:"token" json:"token"`
+	Boots []uint64 `cbor:"boots,omitempty" json:"boots"` // in the order of the job's slots; empty binds nothing
 }
 
 // Abort releases a job whose start failed before any member ran.
--- a/state/image.go
+++ b/state/image.go
@@ -61,6 +61,7 @@
 	Mask  shape.Mask `cbor:"mask"`
 	Phase TaskPhase  `cbor:"phase"`
 	Grace int64      `cbor:"grace,omitempty"`
+	Boot  uint64     `cbor:"boot,omitempty"`
 }
 
 type blockRef struct {
@@ -117,7 +118,7 @@
 			Condition: w.Condition, Revision: w.Revision, Since: w.Since, Gone: w.Gone,
 		}
 		for _, t := range w.Tasks {
-			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace})
+			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
 		}
 		for _, b := range w.Blocks {
 			wi.Blocks = append(wi.Blocks, blockRef{b.Account, b.Promise, b.Copy})
@@ -248,7 +249,7 @@
 			if j == nil {
 				return &ImageError{fmt.Sprintf("task of worker %s has no job %s", w.Name, ti.Job)}
 			}
-			w.Tasks = append(w.Tasks, &Task{Job: j, Token: ti.Token, Mask: ti.Mask, Phase: ti.Phase, Grace: ti.Grace})
+			w.Tasks = append(w.Tasks, &Task{Job: j, Token: ti.Token, Mask: ti.Mask, Phase: ti.Phase, Grace: ti.Grace, Boot: ti.Boot})
 		}
 		for _, ref := range wi.Blocks {
 			b := findBlock(s.Accounts[ref.Account], ref.Promise, ref.Copy)
--- a/state/job.go
+++ b/state/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 
 	"jasminelane.example/lane/record"
@@ -13,6 +14,7 @@
 	MaxJobs     = 100_000
 	MaxFailures = 3 // a job that failed on this many workers is failed
 	MaxGrace    = 30_000
+	StartWindow = 30_000 // milliseconds after a start in which Starting lists the job
 )
 
 func (s *State) submit(v record.Submit) (Reason, string) {
@@ -209,12 +211,20 @@
 	if reason != "" {
 		return reason, detail
 	}
+	if len(v.Boots) > 0 && len(v.Boots) != len(j.Slots) {
+		return ReasonField, "boots"
+	}
 	j.Phase, j.Started, j.Cause = JobRunning, s.Now, "started"
 	j.Starts++
 	s.touch(j)
-	for _, sl := range j.Slots {
+	for i, sl := range j.Slots {
 		w := s.Workers[sl.Worker]
-		w.task(j.ID, j.Token).Phase = TaskRun
+		t := w.task(j.ID, j.Token)
+		t.Phase = TaskRun
+		if len(v.Boots) > 0 {
+			t.Boot = v.Boots[i]
+		}
+		s.touched(w)
 		// All members hold, so the workers have stopped what was evicted.
 		for _, t := range slices.Clone(w.Tasks) {
 			if t.Phase == TaskStopping && t.Mask&sl.Mask != 0 && t.Token < j.Token {
@@ -250,6 +260,18 @@
 	return "", ""
 }
 
+// Starting returns the jobs that hold, and those that were started so recently
+// that not all of their members may run yet.
+func (s *State) Starting() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, j := range s.Jobs {
+			if (j.Phase == JobHolding || j.Phase == JobRunning && s.Now-j.Started < StartWindow) && !yield(j) {
+				return
+			}
+		}
+	}
+}
+
 // placed returns the job if it has the token and phase.
 func (s *State) placed(id string, token uint64, phase JobPhase) (*Job, Reason, string) {
 	j := s.Jobs[id]
@@ -304,6 +326,7 @@
 			continue
 		}
 		t.Phase, t.Grace = TaskStopping, grace
+		s.touched(w)
 	}
 }
 
@@ -402,17 +425,33 @@
 	return true
 }
 
+// Wants reports whether a result of the worker would change the state.
+func (s *State) Wants(w *Worker, job string, token uint64, o record.Outcome) bool {
+	if t := w.task(job, token); t != nil {
+		return t.Phase != TaskDone
+	}
+	return s.wantsLate(job, token, o)
+}
+
 // lateResult takes the truth about a job that became unknown when its worker
 // was lost.
 func (s *State) lateResult(w *Worker, r record.Result) bool {
+	if !s.wantsLate(r.Job, r.Token, r.Outcome) {
+		return false
+	}
 	j := s.Jobs[r.Job]
-	if j == nil || j.Phase != JobUnknown || j.Token != r.Token || r.Outcome != record.OutcomeDone || len(j.Slots) != 1 {
+	if j.Slots[0].Worker != w.Index {
 		return false
 	}
 	s.endJob(j, JobDone, "done, learned from worker "+w.Name)
 	return true
 }
 
+func (s *State) wantsLate(job string, token uint64, o record.Outcome) bool {
+	j := s.Jobs[job]
+	return j != nil && j.Phase == JobUnknown && j.Token == token && o == record.OutcomeDone && len(j.Slots) == 1
+}
+
 // sweep forgets what is beyond its retention.
 func (s *State) sweep() {
 	s.lastSweep = s.Now
--- a/state/state.go
+++ b/state/state.go
@@ -134,6 +134,7 @@
 	Tasks     []*Task
 	Blocks    []*Block
 
+	edition  uint64     // changes with each change of Tasks; not part of the image
 	used     shape.Mask // held by any task
 	reserved shape.Mask // in any block that is not broken
 }
@@ -144,7 +145,8 @@
 	Token uint64
 	Mask  shape.Mask
 	Phase TaskPhase
-	Grace int64 // milliseconds to checkpoint, in phase TaskStopping
+	Grace int64  // milliseconds to checkpoint, in phase TaskStopping
+	Boot  uint64 // incarnation of the worker that held it at the start; 0 if not started or not stated
 }
 
 // TaskPhase is what the worker should do with a task.
--- a/state/worker.go
+++ b/state/worker.go
@@ -48,7 +48,12 @@
 	s.touched(w)
 }
 
+// Edition changes whenever a task of the worker, or its phase, changes. It is
+// local to this copy of the state.
+func (w *Worker) Edition() uint64 { return w.edition }
+
 func (s *State) touched(w *Worker) {
+	w.edition++
 	if s.Touched != nil {
 		s.Touched(w)
 	}
--- /dev/null
+++ b/worker/cluster_test.go
@@ -0,0 +1,196 @@
+package worker_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/worker"
+)
+
+// cluster is a fold shared by several instances, and stand-in workers.
+type cluster struct {
+	t       testing.TB
+	mu      sync.RWMutex
+	s       *state.State
+	seq     uint64
+	changed chan struct{}
+	workers *standin.Workers
+	addr    string
+}
+
+// newCluster returns a cluster of n workers with 4 accelerators each, in one
+// rack, and the accounts asha and binu.
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{t: t, s: &state.State{}, changed: make(chan struct{}), workers: &standin.Workers{}}
+	srv := httptest.NewServer(c.workers)
+	t.Cleanup(srv.Close)
+	c.addr = strings.TrimPrefix(srv.URL, "http://")
+	rack := state.RackBody{Domain: "kochi"}
+	for i := range n {
+		rack.Workers = append(rack.Workers, state.WorkerBody{Name: fmt.Sprintf("w%d", i), Addr: c.addr, GPUs: 4, Cores: 64, Memory: 256})
+	}
+	c.publish("rack/r1", rack)
+	c.publish("account/asha", state.AccountBody{})
+	c.publish("account/binu", state.AccountBody{})
+	return c
+}
+
+func (c *cluster) publish(name string, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.must(record.KindPublish, record.Publish{Name: name, Body: data})
+}
+
+// must applies a record that has to be accepted.
+func (c *cluster) must(kind record.Kind, body any) {
+	c.t.Helper()
+	r, err := record.New(kind, "", body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	out, err := c.propose(c.t.Context(), r)
+	if err != nil || !out[0].Accepted() {
+		c.t.Fatalf("%s: %v %v", kind, out, err)
+	}
+}
+
+func (c *cluster) propose(_ context.Context, recs ...record.Record) ([]state.Outcome, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	out, err := c.s.Apply(c.s.Offset, &record.Batch{Writer: "a", Seq: c.seq, At: time.Now().UnixMilli(), Records: recs})
+	if err == nil {
+		err = c.s.Check()
+	}
+	if err != nil {
+		c.t.Error(err)
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return out, err
+}
+
+func (c *cluster) view(f func(*state.State)) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	f(c.s)
+}
+
+func (c *cluster) watch() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+// keeper and starter return actors with a lease short enough for tests.
+func (c *cluster) keeper(rank int) *worker.Keeper {
+	return &worker.Keeper{
+		View: c.view, Propose: c.propose, Changed: c.watch, Rank: func(string) int { return rank },
+		Lease: 600 * time.Millisecond, RankDelay: 60 * time.Millisecond, Scan: 2 * time.Millisecond,
+	}
+}
+
+func (c *cluster) starter(rank int) *worker.Starter {
+	return &worker.Starter{
+		View: c.view, Propose: c.propose, Changed: c.watch, Rank: func(string) int { return rank },
+		Lease: 600 * time.Millisecond, RankDelay: 60 * time.Millisecond, Retry: 5 * time.Millisecond,
+	}
+}
+
+// run runs an actor until stop is called or the test ends.
+func (c *cluster) run(actor func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := actor(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	stop = func() { cancel(); <-done }
+	c.t.Cleanup(stop)
+	return stop
+}
+
+// place submits a job and places it on n workers from the first one on.
+func (c *cluster) place(spec record.Submit, first, n int) {
+	c.t.Helper()
+	spec.Account = max(spec.Account, "asha")
+	spec.Shape = shape.Shape{Members: n, GPUs: 4, Level: shape.LevelRack}
+	if c.job(spec.Job).ID == "" {
+		c.must(record.KindSubmit, spec)
+	}
+	var slots []shape.Slot
+	for i := range n {
+		slots = append(slots, shape.Slot{Worker: uint32(first + i), Mask: 0xf})
+	}
+	c.must(record.KindPlace, record.Place{Job: spec.Job, Revision: c.job(spec.Job).Revision, Slots: slots})
+}
+
+// job returns a copy of the job, or an empty one.
+func (c *cluster) job(id string) (j state.Job) {
+	c.view(func(s *state.State) {
+		if x := s.Jobs[id]; x != nil {
+			j = *x
+		}
+	})
+	return j
+}
+
+// wait waits until the state satisfies the condition.
+func (c *cluster) wait(what string, cond func(*state.State) bool) {
+	c.t.Helper()
+	limit := time.NewTimer(10 * time.Second)
+	defer limit.Stop()
+	for {
+		changed := c.watch()
+		ok := false
+		c.view(func(s *state.State) { ok = cond(s) })
+		if ok {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			c.view(func(s *state.State) {
+				for id, j := range s.Jobs {
+					c.t.Logf("job %s is %s: %s", id, j.Phase, j.Cause)
+				}
+			})
+			c.t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+func (c *cluster) waitPhase(id string, p state.JobPhase) {
+	c.t.Helper()
+	c.wait("job "+id+" is "+p.String(), func(s *state.State) bool { return s.Jobs[id] != nil && s.Jobs[id].Phase == p })
+}
+
+// TestGangRuns guards against a gang that does not get from its placement to
+// its end, and against members that run before all are armed.
+func TestGangRuns(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	c.run(c.keeper(0).Run)
+	c.run(c.starter(0).Run)
+	c.place(record.Submit{Job: "j1", Expect: 50}, 0, 3)
+	c.place(record.Submit{Job: "j2", Expect: 50, Once: true}, 3, 1)
+	c.waitPhase("j1", state.JobDone)
+	c.waitPhase("j2", state.JobDone)
+	is.Equal(standin.Violations(c.workers.Audit()), nil)
+}
--- /dev/null
+++ b/worker/grants.go
@@ -0,0 +1,78 @@
+package worker
+
+import (
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/state"
+)
+
+// Request returns the sync that states the worker's tasks. A gang on several
+// workers is only armed; the job named by run, if any, is told to run.
+func Request(s *state.State, w *state.Worker, lease int64, run string) SyncRequest {
+	q := SyncRequest{Worker: w.Name, Offset: s.Offset, Lease: lease, Grants: []Grant{}}
+	for _, t := range w.Tasks {
+		j := t.Job
+		g := Grant{
+			Job: j.ID, Token: t.Token, Mask: t.Mask, Grace: t.Grace, Boot: t.Boot, Once: j.Spec.Once, Checkpoint: j.Spec.Checkpoint,
+			Input: j.Spec.Input, Kind: j.Spec.Kind, Expect: j.Spec.Expect, Progress: j.Progress, Members: len(j.Slots),
+		}
+		switch t.Phase {
+		case state.TaskHold:
+			g.Phase = PhaseHold
+		case state.TaskRun:
+			g.Phase = PhaseArm
+			if len(j.Slots) == 1 || j.ID == run {
+				g.Phase = PhaseRun
+			}
+		case state.TaskStopping:
+			if t.Grace == 0 || !j.Spec.Checkpoint {
+				continue
+			}
+			g.Phase = PhaseCheckpoint
+		case state.TaskDone:
+			continue
+		}
+		q.Grants = append(q.Grants, g)
+	}
+	return q
+}
+
+// Results returns what the answer to q changes in the state: results of tasks
+// that the state still counts on, and tasks that have stopped.
+func Results(s *state.State, w *state.Worker, q SyncRequest, a SyncAnswer) []record.Result {
+	type key struct {
+		job   string
+		token uint64
+	}
+	live := make(map[key]bool, len(a.Tasks))
+	var out []record.Result
+	for _, st := range a.Tasks {
+		o, ok := st.outcome()
+		if !ok {
+			live[key{st.Job, st.Token}] = true
+			continue
+		}
+		if s.Wants(w, st.Job, st.Token, o) {
+			live[key{st.Job, st.Token}] = true
+			out = append(out, record.Result{Job: st.Job, Token: st.Token, Outcome: o, Ran: st.Ran, Progress: st.Progress})
+		}
+	}
+	for _, t := range w.Tasks {
+		// A stop that was in force when the sync was sent, and of which the
+		// worker knows nothing, is complete.
+		if t.Phase == state.TaskStopping && t.Job.Revision <= q.Offset && !live[key{t.Job.ID, t.Token}] {
+			out = append(out, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeAbsent})
+		}
+	}
+	return out
+}
+
+// Acks returns the results in the answer that the state has no use for.
+func Acks(s *state.State, w *state.Worker, a SyncAnswer) []Ack {
+	var out []Ack
+	for _, st := range a.Tasks {
+		if o, ok := st.outcome(); ok && !s.Wants(w, st.Job, st.Token, o) {
+			out = append(out, Ack{st.Job, st.Token})
+		}
+	}
+	return out
+}
