Add the trace format, its reader, the generator and the naive baseline

A comparison of the product with a baseline needs inputs that are the same on every run, and expectations that are fixed before the run. Traces are JSON lines in trace/testdata, written by a seeded generator; TestGenerated compares the files with the generator's output.

There is nothing to compare with before this change.

--- /dev/null
+++ b/trace/scenario.go
@@ -0,0 +1,175 @@
+package trace
+
+// user is one of the two users of section 1.1 of the design page.
+type user struct {
+	name          string
+	domains       []string
+	instances     int
+	weight        float64 // of fragmentation against completion time
+	service       string
+	accounts      []Account
+	small, long   string // types of jobs
+	urgent        string // types of requests
+	middle, once  string
+	urgentAccount string
+	onceAccount   string
+	smallAccounts []choice[string]
+	longAccounts  []choice[string]
+	smallShapes   []choice[string]
+	longShapes    []choice[string]
+
+	smallRate, longRate, urgentRate, middleRate float64 // an hour of simulated time
+}
+
+var chirakkal = user{
+	name: "chirakkal", domains: []string{"kochi", "kozhikode", "thrissur"}, instances: 6, weight: 0.3,
+	service: "badges",
+	accounts: []Account{
+		{Kind: "account", Name: "schools", Weight: 3, Guarantees: []Guarantee{{"4x8@rack", 2}}},
+		{Kind: "account", Name: "shops", Weight: 2, Quota: 300, Guarantees: []Guarantee{{"1x4@worker", 4}}},
+		{Kind: "account", Name: "press", Weight: 1, Guarantees: []Guarantee{{"1x2@worker", 2}}},
+		{Kind: "account", Name: "trial", Weight: 1},
+	},
+	small: "proof", long: "sheet", urgent: "name", middle: "preview", once: "print",
+	urgentAccount: "shops", onceAccount: "press",
+	smallAccounts: []choice[string]{{6, "shops"}, {2, "press"}, {2, "trial"}},
+	longAccounts:  []choice[string]{{9, "schools"}, {1, "trial"}},
+	smallShapes:   []choice[string]{{12, "1x1@worker"}, {5, "1x2@worker"}, {2, "1x4@worker"}, {1, "2x2@rack"}},
+	longShapes:    []choice[string]{{6, "4x8@rack"}, {2, "6x8@rack"}, {1, "8x8@domain"}, {1, "8x4@rack"}},
+	smallRate:     750, longRate: 20, urgentRate: 200, middleRate: 60,
+}
+
+var sandalwood = user{
+	name: "sandalwood", domains: []string{"ruwi", "seeb", "muttrah"}, instances: 9, weight: 0.7,
+	service: "pricing",
+	accounts: []Account{
+		{Kind: "account", Name: "survey", Weight: 3, Guarantees: []Guarantee{{"4x8@rack", 3}}},
+		{Kind: "account", Name: "dealers", Weight: 2, Quota: 300, Guarantees: []Guarantee{{"1x4@worker", 4}}},
+		{Kind: "account", Name: "largest", Weight: 1, Guarantees: []Guarantee{{"1x2@worker", 2}}},
+		{Kind: "account", Name: "house", Weight: 1},
+	},
+	small: "photo", long: "survey", urgent: "price", middle: "appraisal", once: "listing",
+	urgentAccount: "largest", onceAccount: "dealers",
+	smallAccounts: []choice[string]{{5, "dealers"}, {2, "largest"}, {3, "house"}},
+	longAccounts:  []choice[string]{{9, "survey"}, {1, "house"}},
+	smallShapes:   []choice[string]{{14, "1x1@worker"}, {4, "1x2@worker"}, {1, "1x4@worker"}, {1, "2x2@rack"}},
+	longShapes:    []choice[string]{{6, "4x8@rack"}, {2, "6x8@rack"}, {1, "8x8@rack"}, {1, "12x8@domain"}},
+	smallRate:     650, longRate: 20, urgentRate: 220, middleRate: 60,
+}
+
+// smallBurst adds 400 small jobs within 20 s.
+func smallBurst(b *builder) {
+	for range 400 {
+		b.smallRun(10*minute+b.rand.Int64N(20_000), b.between(30_000, 120_000))
+	}
+}
+
+// largeBurst adds 14 long gang jobs within 10 s.
+func largeBurst(b *builder) {
+	for range 14 {
+		b.large(10*minute + b.rand.Int64N(10_000))
+	}
+}
+
+// wrongSizes adds declared run times that are off by up to a hundredfold, jobs
+// that always fail, and sizes that can never run.
+func wrongSizes(b *builder) {
+	for i := range b.trace.Jobs {
+		j := &b.trace.Jobs[i]
+		switch b.rand.IntN(4) {
+		case 0:
+			j.Declared = max(1, j.Run/100)
+		case 1:
+			j.Declared = j.Run * 100
+		case 2:
+			j.Declared = 0
+		}
+	}
+	for range 6 {
+		id := b.job(Job{At: b.time(), Type: "broken", Account: "trial", Shape: "1x2@worker", Run: 5000, Declared: 60_000, Outcome: "failed"})
+		b.ends(id, "failed", "")
+	}
+	bad := []struct {
+		shape         string
+		cores, memory float64
+		account       string
+		reason        string
+	}{
+		{"9x8@rack", 0, 0, "schools", "impossible"},
+		{"1x9@worker", 0, 0, "trial", "impossible"},
+		{"17x8@domain", 0, 0, "schools", "impossible"},
+		{"1x1@worker", 17, 0, "shops", "share"},
+		{"4x8@rack", 0, 40, "schools", "share"},
+		{"40x8@domain", 0, 0, "shops", "quota"},
+	}
+	for _, v := range bad {
+		id := b.job(Job{At: b.time(), Type: "wrong", Account: v.account, Shape: v.shape, Run: minute, Declared: minute, Cores: v.cores, Memory: v.memory})
+		b.ends(id, "refused", v.reason)
+	}
+}
+
+// cancelWave cancels three quarters of a burst, large jobs among it, within
+// 3 s.
+func cancelWave(b *builder) {
+	at := int64(10 * minute)
+	var ids []string
+	for range 160 {
+		ids = append(ids, b.smallRun(at+b.rand.Int64N(10_000), b.between(5*minute, 10*minute)))
+	}
+	for range 6 {
+		ids = append(ids, b.large(at+b.rand.Int64N(10_000)))
+	}
+	for i, id := range ids {
+		if i%4 > 0 {
+			b.trace.Cancels = append(b.trace.Cancels, Cancel{Kind: "cancel", At: at + 60_000 + b.rand.Int64N(3000), Job: id})
+			b.ends(id, "cancelled", "")
+		}
+	}
+}
+
+func (b *builder) fault(kind, target string, at, until int64) {
+	b.trace.Faults = append(b.trace.Faults, Fault{Kind: "fault", Type: kind, Target: target, At: at, Until: until})
+}
+
+// failingWorkers makes every task on three workers fail, and loses two others
+// for a while.
+func failingWorkers(b *builder) {
+	b.fault(FaultFailing, "kochi-r1-w0", 5*minute, 25*minute)
+	b.fault(FaultFailing, "kozhikode-r1-w3", 6*minute, 20*minute)
+	b.fault(FaultFailing, "thrissur-r2-w7", 10*minute, 20*minute)
+	b.fault(FaultWorker, "kochi-r2-w2", 15*minute, 17*minute)
+	b.fault(FaultWorker, "kozhikode-r2-w5", 15*minute, 30*minute)
+}
+
+func rackLoss(b *builder) {
+	b.fault(FaultRack, "seeb-r1", 12*minute, 30*minute)
+}
+
+func domainLoss(b *builder) {
+	b.fault(FaultDomain, "kozhikode", 12*minute, 30*minute)
+}
+
+// logOutage takes the log away twice, with requests that may run once only
+// and that their callers resend through another instance.
+func logOutage(b *builder) {
+	b.fault(FaultLog, "", 12*minute, 13*minute+30_000)
+	b.fault(FaultLog, "", 25*minute, 25*minute+20_000)
+	for i := range 30 {
+		b.request(Request{
+			At: 12*minute - 2000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
+			Once: true, Run: 2000, Deadline: 20_000, Resend: 3000,
+		})
+	}
+}
+
+// restart ends every instance twice; new incarnations join 5 s and 10 s later.
+func restart(b *builder) {
+	b.fault(FaultRestart, "", 12*minute, 12*minute+5000)
+	b.fault(FaultRestart, "", 25*minute, 25*minute+10_000)
+	for i := range 30 {
+		b.request(Request{
+			At: 12*minute - 3000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
+			Once: true, Run: 2000, Deadline: 20_000, Resend: 6000,
+		})
+	}
+}
