Add a first version of the request path

Ruled out: one shared http.Transport for each server, because it may open a second connection while an idle one appears and its cap cannot change while it is in use; sending before the claim is in the log. Change: package route (table, queue, breaker, retry budget), package backend (client with a connection cap for each server, matching of answers), package caller (router, claims, jobs, HTTP API) and a stand-in for backend servers.

--- /dev/null
+++ b/backend/doc.go
@@ -0,0 +1,12 @@
+// Package backend sends requests to backend servers over HTTP and matches
+// their answers.
+//
+// A request is POST /run/{service} with the headers Request-Id (the caller's
+// id), Attempt-Id (unique for each time a request is sent), Account,
+// Repeatable, and Deadline-Ms (milliseconds left). The answer repeats
+// Request-Id and Attempt-Id, and carries Answer-Length and Checksum (xxhash64
+// of the body in hexadecimal), Load (requests running or waiting in the
+// server) and, from a server that is leaving, Leaving: true. A server that
+// refuses before it runs anything answers 503 with Fate: notrun and Reason:
+// busy, leaving or deadline. GET /probe answers 204 with Load and Leaving.
+package backend
--- /dev/null
+++ b/caller/feed.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/state"
+)
+
+// feedEvery is the shortest time between two looks at the state. The log may
+// bring hundreds of entries a second and few change servers or members.
+const feedEvery = 200 * time.Millisecond
+
+// Run keeps the table in step with the configuration and the members in the
+// state until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	t := time.NewTicker(feedEvery)
+	defer t.Stop()
+	for {
+		changed := r.Changed()
+		r.feed()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		if r.Ready() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-changed:
+			}
+		}
+	}
+}
+
+// Ready reports whether the instance's join is so long in the log that all
+// others have reduced their shares, and the services are known.
+func (r *Router) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
+}
+
+// feed updates the table from the state.
+func (r *Router) feed() {
+	var members []string
+	changed := map[string][]byte{}
+	versions := map[string]uint64{}
+	member := false
+	r.View(func(s *state.State) {
+		for _, m := range s.Members {
+			members = append(members, m.Writer)
+			member = member || m.Writer == r.Writer
+		}
+		for name, c := range s.Configs {
+			service, ok := strings.CutPrefix(name, "service/")
+			if !ok || c.Gone {
+				continue
+			}
+			versions[service] = c.Version
+			if r.services[service] != c.Version {
+				changed[service] = bytes.Clone(c.Body)
+			}
+		}
+	})
+	for service, body := range changed {
+		b, err := state.ParseService(body)
+		if err != nil {
+			// The fold checked the body; the last valid one stays in use.
+			r.logger().Error("service", zap.String("name", service), zap.Error(err))
+			continue
+		}
+		r.Table.Update(service, b)
+	}
+	for service := range r.services {
+		if _, ok := versions[service]; !ok {
+			r.Table.Update(service, nil)
+		}
+	}
+	r.services = versions
+	r.Table.SetMembers(r.Writer, r.usable(member, members))
+	if r.Trim != nil {
+		r.Trim()
+	}
+	r.pump()
+}
+
+// usable returns the members for the shares: none until the own join has been
+// in the log for JoinDelay, in which the others reduce theirs.
+func (r *Router) usable(member bool, members []string) []string {
+	delay := r.JoinDelay
+	if delay == 0 {
+		delay = time.Second
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !member:
+		r.joined = time.Time{}
+	case r.joined.IsZero():
+		r.joined = time.Now()
+	}
+	r.ready = member && time.Since(r.joined) >= delay
+	if !r.ready {
+		return nil
+	}
+	return members
+}
--- /dev/null
+++ b/caller/router.go
@@ -0,0 +1,306 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/backend"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/route"
+	"jasminelane.example/lane/state"
+)
+
+// maxAttempts bounds how often one request is sent or probed for; the retry
+// budget is usually the tighter limit.
+const maxAttempts = 4
+
+// Router sends callers' requests to backend servers. Fields are set before
+// use; it is safe for concurrent use.
+type Router struct {
+	Table       *route.Table
+	Budget      *route.Budget // default: the zero Budget
+	Writer      string        // this incarnation's identity in the log
+	View        func(func(*state.State))
+	Propose     func(ctx context.Context, recs ...record.Record) ([]state.Outcome, error)
+	Changed     func() <-chan struct{}
+	NotAppended func(error) bool // reports that Propose certainly appended nothing; default never
+	Send        func(ctx context.Context, addr string, q *backend.Request) (*backend.Answer, error)
+	Probe       func(ctx context.Context, addr string) (backend.Notice, error)
+	Trim        func()                     // called when the shares change; default nothing
+	Count       func(event, reason string) // counts answers ("answer"), refusals and retries; default nothing
+	Logger      *zap.Logger                // default none
+	NewQueue    func() *route.Queue        // for each service; default the zero Queue
+	JoinDelay   time.Duration              // after the own join before the first use of the shares; default 1 s, negative none
+	ProbeWait   time.Duration              // default 250 ms
+
+	mu       sync.Mutex
+	queues   map[string]*route.Queue
+	ticking  bool
+	draining bool
+	inflight int
+	settling int
+	quiet    chan struct{} // closed when a drain has nothing left
+	active   map[string]bool
+	settles  []*settlement
+	settler  bool
+
+	joined   time.Time
+	ready    bool
+	services map[string]uint64 // version of each service in the table
+}
+
+var started = time.Now()
+
+// now is Unix milliseconds on the monotonic clock, so that a step of the wall
+// clock changes no delay.
+func now() int64 { return started.UnixMilli() + time.Since(started).Milliseconds() }
+
+// Do runs the request and returns its fate. A request that is not repeatable
+// goes on when ctx ends after it was claimed, so that its fate is recorded.
+func (r *Router) Do(ctx context.Context, q *Request) Answer {
+	if !r.enter() {
+		return r.counted(notRun(route.ReasonDraining, "", 1000))
+	}
+	defer r.exit()
+	if !q.Deadline.After(time.Now()) {
+		return r.counted(notRun(route.ReasonDeadline, "", 0))
+	}
+	if !q.Repeatable {
+		return r.counted(r.once(ctx, q))
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	return r.counted(r.run(ctx, q))
+}
+
+func (r *Router) counted(a Answer) Answer {
+	r.count("answer."+string(a.Fate), a.Reason)
+	return a
+}
+
+func (r *Router) count(event string, reason route.Reason) {
+	if r.Count != nil {
+		r.Count(event, string(reason))
+	}
+}
+
+// run sends the request until it is answered, cannot be retried, or its
+// deadline passes.
+func (r *Router) run(ctx context.Context, q *Request) Answer {
+	r.budget().Request(now())
+	var exclude []string
+	maybe := false // an attempt may have run
+	end := func(reason route.Reason, detail string, after int64) Answer {
+		if maybe {
+			return unknown(reason, detail)
+		}
+		return notRun(reason, detail, after)
+	}
+	for attempt := 1; ; attempt++ {
+		s, err := r.acquire(ctx, q, exclude)
+		if err != nil {
+			return end(err.Reason, "", err.RetryAfter)
+		}
+		a, fail := r.send(ctx, q, s)
+		if fail == nil {
+			return Answer{Fate: record.FateDone, Status: a.Status, Body: a.Body}
+		}
+		maybe = maybe || !fail.NotRun
+		switch {
+		case maybe && !q.Repeatable, ctx.Err() != nil, attempt == maxAttempts:
+			return end(fail.Reason, failDetail(fail), 200)
+		case !r.budget().Retry(now()):
+			r.count("refused", route.ReasonBudget)
+			return end(route.ReasonBudget, string(fail.Reason), 1000)
+		}
+		r.count("retry", fail.Reason)
+		exclude = append(exclude, s.Addr)
+		if !pause(ctx, route.Jitter(attempt, 10, 200, rand.Float64)) {
+			return end(ended(ctx), string(fail.Reason), 0)
+		}
+	}
+}
+
+func failDetail(e *backend.Error) string {
+	if e.Err == nil {
+		return ""
+	}
+	return e.Err.Error()
+}
+
+// send probes the server if need be, sends the request once, and tells the
+// table what it learned.
+func (r *Router) send(ctx context.Context, q *Request, s *route.Server) (*backend.Answer, *backend.Error) {
+	res := route.Result{Verdict: route.Dropped}
+	defer func() {
+		r.Table.Done(s, now(), res)
+		r.pump()
+	}()
+	patience := time.Duration(r.Table.Patience(s)) * time.Millisecond
+	if !r.Table.Fresh(s, now()) {
+		if err := r.check(ctx, s, patience, &res); err != nil {
+			return nil, err
+		}
+	}
+	if ctx.Err() != nil || !q.Deadline.After(time.Now()) {
+		return nil, &backend.Error{Reason: ended(ctx), NotRun: true}
+	}
+	// A request that cannot be sent elsewhere waits as long as it may.
+	if q.Repeatable {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, patience)
+		defer cancel()
+	}
+	begin := time.Now()
+	a, err := r.Send(ctx, s.Addr, &backend.Request{
+		ID: q.ID, Service: q.Service, Account: q.Account, Repeatable: q.Repeatable, Body: q.Body,
+	})
+	if err != nil {
+		fail := failure(err)
+		res = result(fail)
+		return nil, fail
+	}
+	res = told(a.Notice)
+	res.Verdict, res.Fault, res.Took = route.Answered, a.Status >= 500, time.Since(begin).Milliseconds()
+	return a, nil
+}
+
+// check probes the server; an error says why it gets no work.
+func (r *Router) check(ctx context.Context, s *route.Server, patience time.Duration, res *route.Result) *backend.Error {
+	wait := r.ProbeWait
+	if wait == 0 {
+		wait = 250 * time.Millisecond
+	}
+	pctx, cancel := context.WithTimeout(ctx, min(wait, patience))
+	defer cancel()
+	n, err := r.Probe(pctx, s.Addr)
+	if err != nil {
+		fail := failure(err)
+		fail.NotRun = true // nothing but the probe was sent
+		if ctx.Err() == nil && fail.Reason != route.ReasonConnections {
+			res.Verdict = route.Failed
+		}
+		return fail
+	}
+	r.Table.Heard(s, now(), told(n))
+	if n.Leaving {
+		return &backend.Error{Reason: route.ReasonLeaving, NotRun: true, Told: true, Notice: n}
+	}
+	return nil
+}
+
+func failure(err error) *backend.Error {
+	var e *backend.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &backend.Error{Reason: route.ReasonReset, Err: err}
+}
+
+func told(n backend.Notice) route.Result {
+	return route.Result{Loaded: n.Loaded, Busy: n.Busy, Leaving: n.Leaving}
+}
+
+func result(e *backend.Error) route.Result {
+	switch {
+	case e.Told:
+		res := told(e.Notice)
+		res.Verdict = route.Refused
+		return res
+	case e.Reason == route.ReasonCancelled, e.Reason == route.ReasonConnections,
+		e.Reason == route.ReasonDeadline, e.Reason == route.ReasonField:
+		return route.Result{Verdict: route.Dropped}
+	default:
+		return route.Result{Verdict: route.Failed}
+	}
+}
+
+func ended(ctx context.Context) route.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return route.ReasonCancelled
+	}
+	return route.ReasonDeadline
+}
+
+func pause(ctx context.Context, ms int64) bool {
+	t := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Router) budget() *route.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Budget == nil {
+		r.Budget = &route.Budget{}
+	}
+	return r.Budget
+}
+
+func (r *Router) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return false
+	}
+	r.inflight++
+	return true
+}
+
+func (r *Router) exit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inflight--
+	r.checkQuiet()
+}
+
+func (r *Router) checkQuiet() {
+	if r.draining && r.inflight == 0 && r.settling == 0 && r.quiet != nil {
+		close(r.quiet)
+		r.quiet = nil
+	}
+}
+
+// DrainError reports what was left when the drain's context ended.
+type DrainError struct {
+	Inflight int // requests
+	Settling int // fates not yet in the log; their claims stay open
+}
+
+// Error describes what was left.
+func (e *DrainError) Error() string {
+	return fmt.Sprintf("drain: %d requests in flight, %d fates not recorded", e.Inflight, e.Settling)
+}
+
+// Drain takes nothing new and returns when all accepted requests have their
+// answer and all fates are in the log. It fails with *DrainError when ctx ends
+// first.
+func (r *Router) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.draining = true
+	if r.quiet == nil {
+		r.quiet = make(chan struct{})
+	}
+	quiet := r.quiet
+	r.checkQuiet()
+	r.mu.Unlock()
+	select {
+	case <-quiet:
+		return nil
+	case <-ctx.Done():
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return &DrainError{r.inflight, r.settling}
+	}
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,392 @@
+package route
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jasminelane.example/lane/state"
+)
+
+// Table holds the backend servers of all services with what this instance
+// knows of them. Fields are set before use. It is safe for concurrent use.
+type Table struct {
+	Random     func() float64 // in [0, 1); default math/rand/v2
+	ReportAge  int64          // reported load counts less with age and nothing after this, milliseconds; default 1000
+	StallAfter int64          // a server with requests in flight that says nothing for this long is stalled, milliseconds; default 500
+	FreshFor   int64          // a server not heard for this long is asked before it gets work, milliseconds; default 2000
+	LeaveFor   int64          // a leaving mark from a header holds for this long, milliseconds; default 60000
+
+	mu       sync.Mutex
+	services map[string]*service
+	servers  map[string]*Server // by address
+	self     string
+	members  []string
+}
+
+type service struct {
+	body    *state.ServiceBody
+	servers []*Server
+}
+
+// Server is one backend server. Its address identifies it in all services.
+type Server struct {
+	Name   string
+	Addr   string
+	Domain string
+
+	// Guarded by Table.mu.
+	slots       int
+	connections int
+	share       int  // connections that this instance may open
+	retired     bool // leaving by configuration
+	listed      bool // leaving by the instance list
+	leaving     int64
+	inflight    int
+	busy        int   // requests that the server last reported
+	own         int   // of these, in flight from this instance
+	reported    int64 // time of that report
+	heard       int64 // time of the last word from the server
+	silent      int64 // since when, with requests in flight, it has said nothing
+	service     float64
+	breaker     breaker
+}
+
+// Verdict classifies how a request to a server ended, as the table sees it.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Answered Verdict = iota // a complete answer
+	Refused                 // the server refused: busy or leaving
+	Failed                  // no connection, no answer in time, or a damaged one
+	Dropped                 // given up for reasons of the caller; says nothing about the server
+)
+
+// Result is what became of one request to a server.
+type Result struct {
+	Verdict Verdict
+	Fault   bool  // the answer has a 5xx status
+	Loaded  bool  // Busy is valid
+	Busy    int   // requests running or waiting in the server
+	Leaving bool  // the server says that it is leaving
+	Took    int64 // milliseconds from sending to the answer
+}
+
+// Update replaces the servers of a service; a nil body removes it.
+func (t *Table) Update(name string, body *state.ServiceBody) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services == nil {
+		t.services = map[string]*service{}
+		t.servers = map[string]*Server{}
+	}
+	if body == nil {
+		delete(t.services, name)
+	} else {
+		t.services[name] = &service{body: body}
+	}
+	t.rebuild()
+}
+
+// rebuild derives the servers from all services. A server in two services has
+// the smaller of its limits, because both use the same process.
+func (t *Table) rebuild() {
+	old := t.servers
+	t.servers = map[string]*Server{}
+	for _, v := range t.services {
+		v.servers = v.servers[:0]
+		for _, b := range v.body.Servers {
+			s := t.servers[b.Addr]
+			switch {
+			case s != nil:
+				s.slots, s.connections = min(s.slots, b.Slots), min(s.connections, b.Connections)
+				s.retired = s.retired || b.Leaving
+			case old[b.Addr] != nil && old[b.Addr].Name == b.Name:
+				s = old[b.Addr]
+				s.slots, s.connections, s.retired = b.Slots, b.Connections, b.Leaving
+			default:
+				s = &Server{
+					Name: b.Name, Addr: b.Addr, Domain: b.Domain,
+					slots: b.Slots, connections: b.Connections, retired: b.Leaving,
+				}
+			}
+			t.servers[b.Addr] = s
+			v.servers = append(v.servers, s)
+		}
+	}
+	t.reshare()
+}
+
+// SetMembers sets the live instances, by their identity in the log, and which
+// of them this one is. Without members the instance has no shares.
+func (t *Table) SetMembers(self string, members []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self == self && slices.Equal(t.members, members) {
+		return
+	}
+	t.self, t.members = self, slices.Clone(members)
+	t.reshare()
+}
+
+func (t *Table) reshare() {
+	for _, s := range t.servers {
+		s.share = t.connections(s)
+	}
+}
+
+// connections returns floor(connections / members). With more members than
+// connections, the members that rank first for the server by rendezvous
+// hashing get one each, so that the service stays usable and the sum stays
+// within the cap.
+func (t *Table) connections(s *Server) int {
+	n := len(t.members)
+	if !slices.Contains(t.members, t.self) {
+		return 0
+	}
+	if share := s.connections / n; share > 0 {
+		return share
+	}
+	mine := rendezvous(t.self, s.Addr)
+	ahead := 0
+	for _, m := range t.members {
+		if m == t.self {
+			continue
+		}
+		if h := rendezvous(m, s.Addr); h > mine || h == mine && m < t.self {
+			ahead++
+		}
+	}
+	if ahead < s.connections {
+		return 1
+	}
+	return 0
+}
+
+func rendezvous(member, subject string) uint64 {
+	return xxhash.Sum64String(member + "\x00" + subject)
+}
+
+// SetListed marks as leaving the servers that the platform's list shows as
+// leaving, by address, and clears the mark of all others.
+func (t *Table) SetListed(leaving []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for addr, s := range t.servers {
+		s.listed = slices.Contains(leaving, addr)
+	}
+}
+
+// Connections returns how many connections this instance may open to the
+// address.
+func (t *Table) Connections(addr string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[addr]; s != nil {
+		return s.share
+	}
+	return 0
+}
+
+// Pick chooses a server by the power of two choices and counts the request as
+// in flight there until Done. Servers whose address is in exclude are not
+// chosen. It fails with *RefusedError.
+func (t *Table) Pick(name string, now int64, exclude []string) (*Server, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.services[name]
+	if v == nil || len(v.servers) == 0 {
+		return nil, &RefusedError{ReasonService, 0}
+	}
+	var open []*Server
+	full := false
+	for _, s := range v.servers {
+		if slices.Contains(exclude, s.Addr) || t.leaving(s, now) {
+			continue
+		}
+		ok, test := t.ready(s, now)
+		if !ok || test && s.inflight >= s.share {
+			continue
+		}
+		if s.inflight >= t.limit(s, now) {
+			full = true
+			continue
+		}
+		if test {
+			s.breaker.trial = true
+			t.begin(s, now)
+			return s, nil
+		}
+		open = append(open, s)
+	}
+	if len(open) == 0 {
+		if full {
+			return nil, &RefusedError{ReasonBusy, 100}
+		}
+		return nil, &RefusedError{ReasonServer, 1000}
+	}
+	s := open[t.intn(len(open))]
+	if len(open) > 1 {
+		o := open[t.intn(len(open))]
+		if cmp.Compare(t.score(o, now), t.score(s, now)) < 0 {
+			s = o
+		}
+	}
+	t.begin(s, now)
+	return s, nil
+}
+
+func (t *Table) begin(s *Server, now int64) {
+	if s.inflight == 0 {
+		s.silent = now
+	}
+	s.inflight++
+}
+
+// Done ends a request that Pick counted.
+func (t *Table) Done(s *Server, now int64, r Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := s.inflight
+	s.inflight--
+	switch r.Verdict {
+	case Answered, Refused:
+		t.hear(s, now, r, own)
+		switch {
+		case r.Fault:
+			s.breaker.fault(now, t.random)
+		default:
+			s.breaker.success() // a refusal too shows that the server is neither stalled nor gone
+		}
+		if r.Verdict == Answered {
+			if s.service == 0 {
+				s.service = float64(r.Took)
+			}
+			s.service += 0.1 * (float64(r.Took) - s.service)
+		}
+	case Failed:
+		s.breaker.failure(now, t.random)
+	case Dropped:
+		s.breaker.trial = false
+	}
+}
+
+// Heard notes the answer to a probe of a server.
+func (t *Table) Heard(s *Server, now int64, r Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hear(s, now, r, s.inflight)
+	if !r.Leaving {
+		s.leaving = 0
+	}
+}
+
+func (t *Table) hear(s *Server, now int64, r Result, own int) {
+	s.heard, s.silent = now, now
+	if r.Loaded {
+		s.busy, s.own, s.reported = r.Busy, own, now
+	}
+	// Answers overtake each other, so only a probe clears the mark.
+	if r.Leaving {
+		s.leaving = now
+	}
+}
+
+// Fresh reports whether a picked server may get the request at once. It must
+// be probed first when it was not heard for FreshFor, so that it cannot have
+// been leaving for longer, and when the request tests it after a failure, so
+// that a server that is still down costs the request only a probe.
+func (t *Table) Fresh(s *Server, now int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !s.breaker.trial && s.heard != 0 && now-s.heard < orDefault(t.FreshFor, 2000)
+}
+
+// Patience returns how long a repeatable request waits for the server's
+// answer before it is tried elsewhere, in milliseconds.
+func (t *Table) Patience(s *Server) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stall(s)
+}
+
+func (t *Table) leaving(s *Server, now int64) bool {
+	return s.retired || s.listed || s.leaving != 0 && now-s.leaving < orDefault(t.LeaveFor, 60_000)
+}
+
+func (t *Table) ready(s *Server, now int64) (ok, trial bool) {
+	if s.breaker.until == 0 && s.inflight > 0 && now-s.silent > t.stall(s) {
+		s.breaker.trip(now, t.random)
+	}
+	return s.breaker.ready(now)
+}
+
+// stall grows with the usual service time, so that slow services are not
+// taken for stalled ones, up to 10 s.
+func (t *Table) stall(s *Server) int64 {
+	return min(max(orDefault(t.StallAfter, 500), int64(8*s.service)), max(10_000, t.StallAfter))
+}
+
+// limit is how many requests this instance may have in flight on the server:
+// its share of the slots or, while a report is recent, all slots that others
+// do not use, and never more than its connections.
+func (t *Table) limit(s *Server, now int64) int {
+	n := max(1, s.slots/max(1, len(t.members)))
+	if s.reported != 0 && now-s.reported < orDefault(t.ReportAge, 1000) {
+		n = max(n, s.slots-max(0, s.busy-s.own))
+	}
+	return min(n, s.share)
+}
+
+// score is the expected load for each slot: own requests in flight and, less
+// with age, those of others.
+func (t *Table) score(s *Server, now int64) float64 {
+	load := float64(s.inflight)
+	if age, limit := now-s.reported, orDefault(t.ReportAge, 1000); s.reported != 0 && age < limit {
+		load += float64(max(0, s.busy-s.own)) * float64(limit-age) / float64(limit)
+	}
+	return load / float64(s.slots)
+}
+
+func (t *Table) random() float64 {
+	if t.Random == nil {
+		return rand.Float64()
+	}
+	return t.Random()
+}
+
+func (t *Table) intn(n int) int { return min(n-1, int(t.random()*float64(n))) }
+
+// Status is what the table knows of a server, for operators.
+type Status struct {
+	Name     string `json:"name"`
+	Addr     string `json:"addr"`
+	Inflight int    `json:"inflight"`
+	Busy     int    `json:"busy"`
+	Limit    int    `json:"limit"`
+	Share    int    `json:"share"` // connections
+	Leaving  bool   `json:"leaving"`
+	Open     bool   `json:"open"` // the breaker is open
+}
+
+// Status returns the servers of a service in the order of its configuration.
+func (t *Table) Status(name string, now int64) []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.services[name]
+	if v == nil {
+		return nil
+	}
+	var out []Status
+	for _, s := range v.servers {
+		out = append(out, Status{
+			Name: s.Name, Addr: s.Addr, Inflight: s.inflight, Busy: s.busy, Limit: t.limit(s, now),
+			Share: s.share, Leaving: t.leaving(s, now), Open: s.breaker.until != 0,
+		})
+	}
+	return out
+}
