--- a/cli/client.go
+++ b/cli/client.go
@@ -1,75 +1,47 @@
 package cli
 
 import (
-	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"text/tabwriter"
-	"time"
 
+	"jasminelane.example/lane/client"
 	"jasminelane.example/lane/operator"
 	"jasminelane.example/lane/record"
 )
 
-// clientTimeout covers the longest answer, a publish that waits until the
-// version is in force.
-const clientTimeout = 30 * time.Second
+func (f *flags) operators() *client.Client { return &client.Client{Base: f.operator, Token: f.token} }
+func (f *flags) callers() *client.Client   { return &client.Client{Base: f.caller, Token: f.token} }
 
-// do sends a request and decodes a 200 answer into out; it fails with
-// *exitError.
-func do(f *flags, method, base, path string, query url.Values, body []byte, header http.Header, out any) error {
-	link := strings.TrimSuffix(base, "/") + path
-	if len(query) > 0 {
-		link += "?" + query.Encode()
-	}
-	r, err := http.NewRequestWithContext(f.ctx, method, link, bytes.NewReader(body))
-	if err != nil {
-		return &UsageError{err.Error()}
-	}
-	for k, v := range header {
-		r.Header[k] = v
-	}
-	r.Header.Set("Authorization", "Bearer "+f.token)
-	client := &http.Client{Timeout: clientTimeout}
-	resp, err := client.Do(r)
-	if err != nil {
-		if method == http.MethodGet {
-			return &exitError{ExitUnreachable, err}
-		}
-		// The request may have arrived; only reading the state can tell.
-		return &exitError{ExitUnknown, fmt.Errorf("unknown: %w", err)}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
-	if err != nil {
-		return &exitError{ExitUnknown, err}
-	}
-	if resp.StatusCode == http.StatusOK {
-		if err := json.Unmarshal(data, out); err != nil {
-			return &exitError{ExitFailed, err}
-		}
-		return nil
-	}
-	var refusal operator.Refusal
-	if json.Unmarshal(data, &refusal) != nil || refusal.Fate == "" {
-		return &exitError{ExitFailed, fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(data)))}
-	}
-	code := ExitRefused
-	if refusal.Fate == record.FateUnknown {
-		code = ExitUnknown
-	}
-	return &exitError{code, &refusal}
+// operate calls the operators' API and gives its failures their exit codes.
+func operate[T any](f *flags, method, path string, query url.Values, body []byte) (T, error) {
+	out, err := client.Operate[T](f.ctx, f.operators(), method, path, query, body)
+	return out, exitFor(err, method == http.MethodGet)
 }
 
-// get fetches from the operators' address.
-func get[T any](f *flags, path string, query url.Values) (T, error) {
-	var out T
-	err := do(f, http.MethodGet, f.operator, path, query, nil, nil, &out)
-	return out, err
+// exitFor attaches an exit code; reading says that the call changed nothing,
+// so that a missing answer leaves no fate unknown.
+func exitFor(err error, reading bool) error {
+	var refusal *operator.Refusal
+	var unreachable *client.UnreachableError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refusal) && refusal.Fate == record.FateUnknown:
+		return &exitError{ExitUnknown, err}
+	case errors.As(err, &refusal):
+		return &exitError{ExitRefused, err}
+	case errors.As(err, &unreachable) && reading:
+		return &exitError{ExitUnreachable, err}
+	case errors.As(err, &unreachable):
+		return &exitError{ExitUnknown, err}
+	default:
+		return &exitError{ExitFailed, err}
+	}
 }
 
 // show prints v as JSON, or calls table to print rows.
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -40,8 +40,7 @@
 		return &exitError{ExitInvalid, err}
 	}
 	if *online {
-		var out map[string]string
-		if err := do(f, http.MethodPut, f.operator, "/v1/config/"+*name, url.Values{"check": {"true"}}, data, nil, &out); err != nil {
+		if _, err := operate[map[string]string](f, http.MethodPut, "/v1/config/"+*name, url.Values{"check": {"true"}}, data); err != nil {
 			return err
 		}
 	}
@@ -77,8 +76,8 @@
 }
 
 func (t *Tool) publish(f *flags, method, name string, query url.Values, data []byte) error {
-	var out operator.Published
-	if err := do(f, method, f.operator, "/v1/config/"+name, query, data, nil, &out); err != nil {
+	out, err := operate[operator.Published](f, method, "/v1/config/"+name, query, data)
+	if err != nil {
 		return err
 	}
 	return t.show(f, out, func(w io.Writer) {
@@ -100,7 +99,7 @@
 		return &UsageError{"config wants at most one name"}
 	}
 	if len(f.args) == 1 {
-		c, err := get[operator.Config](f, "/v1/config/"+f.args[0], nil)
+		c, err := operate[operator.Config](f, http.MethodGet, "/v1/config/"+f.args[0], nil, nil)
 		if err != nil {
 			return err
 		}
@@ -111,7 +110,7 @@
 			row(w, string(c.Body))
 		})
 	}
-	list, err := get[[]operator.Config](f, "/v1/config", nil)
+	list, err := operate[[]operator.Config](f, http.MethodGet, "/v1/config", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -127,7 +126,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	list, err := get[[]operator.Account](f, "/v1/accounts", nil)
+	list, err := operate[[]operator.Account](f, http.MethodGet, "/v1/accounts", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -145,7 +144,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	list, err := get[[]operator.Job](f, "/v1/jobs", url.Values{"phase": {*phase}, "account": {*account}})
+	list, err := operate[[]operator.Job](f, http.MethodGet, "/v1/jobs", url.Values{"phase": {*phase}, "account": {*account}}, nil)
 	if err != nil {
 		return err
 	}
@@ -161,7 +160,7 @@
 	if err := f.parse(1); err != nil {
 		return err
 	}
-	j, err := get[operator.Job](f, "/v1/jobs/"+url.PathEscape(f.args[0]), nil)
+	j, err := operate[operator.Job](f, http.MethodGet, "/v1/jobs/"+url.PathEscape(f.args[0]), nil, nil)
 	if err != nil {
 		return err
 	}
@@ -198,7 +197,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	list, err := get[[]operator.Worker](f, "/v1/workers", nil)
+	list, err := operate[[]operator.Worker](f, http.MethodGet, "/v1/workers", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -221,8 +220,8 @@
 	if err := f.parse(1); err != nil {
 		return err
 	}
-	var out operator.Worker
-	if err := do(f, http.MethodPost, f.operator, "/v1/workers/"+url.PathEscape(f.args[0])+"/"+condition, nil, nil, nil, &out); err != nil {
+	out, err := operate[operator.Worker](f, http.MethodPost, "/v1/workers/"+url.PathEscape(f.args[0])+"/"+condition, nil, nil)
+	if err != nil {
 		return err
 	}
 	return t.showWorkers(f, []operator.Worker{out})
@@ -232,7 +231,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	list, err := get[[]operator.Instance](f, "/v1/instances", nil)
+	list, err := operate[[]operator.Instance](f, http.MethodGet, "/v1/instances", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -248,7 +247,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	s, err := get[operator.Status](f, "/v1/status", nil)
+	s, err := operate[operator.Status](f, http.MethodGet, "/v1/status", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -273,8 +272,8 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	var out map[string]string
-	if err := do(f, http.MethodPost, f.operator, "/v1/drain", nil, nil, nil, &out); err != nil {
+	out, err := operate[map[string]string](f, http.MethodPost, "/v1/drain", nil, nil)
+	if err != nil {
 		return err
 	}
 	fmt.Fprintln(t.Out, "drain started")
@@ -285,10 +284,9 @@
 	if err := f.parse(1); err != nil {
 		return err
 	}
-	var out operator.Job
-	if err := do(f, http.MethodDelete, f.operator, "/v1/jobs/"+url.PathEscape(f.args[0]), nil, nil, nil, &out); err != nil {
+	out, err := operate[operator.Job](f, http.MethodDelete, "/v1/jobs/"+url.PathEscape(f.args[0]), nil, nil)
+	if err != nil {
 		return err
 	}
 	return t.showJob(f, out)
 }
-
--- /dev/null
+++ b/cmd/laned/main.go
@@ -0,0 +1,52 @@
+// Command laned is one entry instance of jasminelane.
+//
+//	laned -settings examples/chirakkal.ini
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"jasminelane.example/lane/entry"
+	"jasminelane.example/lane/settings"
+)
+
+func main() {
+	path := flag.String("settings", "laned.ini", "settings file")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	os.Exit(serve(*path, *check))
+}
+
+func serve(path string, check bool) int {
+	set, err := settings.Read(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if check {
+		fmt.Println("ok")
+		return 0
+	}
+	// The first signal starts a graceful shutdown, the second ends at once.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	drain := make(chan struct{})
+	go func() {
+		<-signals
+		close(drain)
+		<-signals
+		cancel()
+	}()
+	if err := entry.Serve(ctx, *set, entry.NewLogger(os.Stderr, set.Instance.Verbose), drain); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/demo/result.go
@@ -0,0 +1,108 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/trace"
+)
+
+// Result is what one input came to.
+type Result struct {
+	Name          string
+	Fates         []Fate
+	Violations    []string // of what must always hold, from the stand-ins' audit trails
+	Fragmentation float64  // mean over the run
+	Took          time.Duration
+}
+
+// WrongError reports an input that did not end as stated.
+type WrongError struct {
+	Name       string
+	Wrong      []Fate
+	Violations []string
+}
+
+// Error lists what was wrong.
+func (e *WrongError) Error() string {
+	lines := []string{fmt.Sprintf("%s: %d fates missing or wrong, %d violations", e.Name, len(e.Wrong), len(e.Violations))}
+	for _, f := range e.Wrong {
+		lines = append(lines, fmt.Sprintf("  %s %s: want %s, got %s (%s)", f.Type, f.ID, f.Want, f.Got, f.Reason))
+	}
+	for _, v := range e.Violations {
+		lines = append(lines, "  "+v)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns nil when everything ended as stated, otherwise *WrongError.
+func (r *Result) Err() error {
+	var wrong []Fate
+	for _, f := range r.Fates {
+		if !f.OK() {
+			wrong = append(wrong, f)
+		}
+	}
+	if len(wrong) == 0 && len(r.Violations) == 0 {
+		return nil
+	}
+	return &WrongError{r.Name, wrong, r.Violations}
+}
+
+// Print writes completion times by type and the fragmentation.
+func (r *Result) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s\tcount\tdone\tmean ms\tp50\tp95\tp99\t\n", r.Name)
+	var types []string
+	for _, f := range r.Fates {
+		if !slices.Contains(types, f.Type) {
+			types = append(types, f.Type)
+		}
+	}
+	slices.Sort(types)
+	for _, typ := range types {
+		h := hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+		count, done := 0, 0
+		for _, f := range r.Fates {
+			if f.Type != typ {
+				continue
+			}
+			count++
+			if f.Got == "done" {
+				done++
+				_ = h.RecordValue(f.Took)
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%d\t%d\t%d\t\n", typ, count, done, h.Mean(),
+			h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.ValueAtQuantile(99))
+	}
+	_ = w.Flush()
+	fmt.Fprintf(out, "fragmentation, mean over the run: %.3f\nviolations: %d\ntook: %s\n", r.Fragmentation, len(r.Violations), r.Took.Round(time.Millisecond))
+}
+
+// Run plays the trace at the path through a bench of its own; it fails with
+// *trace.FileError, *StartError or *WrongError.
+func Run(ctx context.Context, path string, out io.Writer, logger *zap.Logger) error {
+	t, err := trace.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	b := &Bench{Trace: t, Logger: logger}
+	fmt.Fprintf(out, "== %s: %d racks, %d accounts, %d jobs, %d requests\n", t.Head.Name, len(t.Racks), len(t.Accounts), len(t.Jobs), len(t.Requests))
+	if err := b.Start(ctx); err != nil {
+		return err
+	}
+	defer b.Stop()
+	p := &Play{Bench: b, Out: out}
+	r := p.Run(ctx)
+	r.Print(out)
+	return r.Err()
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"fmt"
+
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/state"
+)
+
+// count counts the refusals that the fold decided.
+func (n *Instance) count(o state.Outcome) {
+	if !o.Accepted() {
+		n.Metrics.Refuse("fold."+string(o.Kind), string(o.Reason))
+	}
+}
+
+// countRequest counts answers, refusals and retries of the request path.
+func (n *Instance) countRequest(event, reason string) {
+	switch event {
+	case "retry":
+		n.Metrics.Retry("request", reason)
+	case "answer":
+		n.Metrics.Count("answer." + reason)
+	default:
+		n.Metrics.Refuse("request."+event, reason)
+	}
+}
+
+func (n *Instance) gauges() {
+	status := n.Metrics.Gauge
+	status("offset", func() any { return n.replica.Status().Offset })
+	status("lag", func() any {
+		st := n.replica.Status()
+		return st.End - min(st.End, st.Offset)
+	})
+	status("digest", func() any { return fmt.Sprintf("%016x", n.replica.Status().Chain) })
+	status("logdown", func() any { return n.replica.Status().LogDown })
+	status("ready", func() any { return n.Ready() == nil })
+	status("replica", func() any { return n.replica.Status().Counts })
+	status("guarantees", func() any {
+		var out struct {
+			Blocks int `json:"blocks"`
+			Broken int `json:"broken"`
+			Slack  int `json:"slack"` // ready accelerators outside all blocks
+		}
+		n.replica.View(func(s *state.State) {
+			for _, a := range s.Accounts {
+				out.Blocks += len(a.Blocks)
+				for _, b := range a.Blocks {
+					if b.Broken {
+						out.Broken++
+					}
+				}
+			}
+			for _, w := range s.Workers {
+				if w.Ready() {
+					out.Slack += (w.All() &^ w.Reserved()).Count()
+				}
+			}
+		})
+		return out
+	})
+	status("fragmentation", func() any {
+		var f float64
+		n.replica.View(func(s *state.State) { f = placement.Fragmentation(s) })
+		return f
+	})
+	status("jobs", func() any {
+		out := map[string]int{}
+		n.replica.View(func(s *state.State) {
+			for _, j := range s.Jobs {
+				out[j.Phase.String()]++
+			}
+		})
+		return out
+	})
+	status("servers", func() any { return n.table.Status() })
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/replica"
+	"jasminelane.example/lane/settings"
+)
+
+// Serve runs incarnations of an instance until the context ends or the
+// instance was drained: one that was fenced is followed by a new one. drain,
+// when it is closed, starts a graceful shutdown.
+func Serve(ctx context.Context, set settings.Settings, logger *zap.Logger, drain <-chan struct{}) error {
+	for {
+		n := &Instance{Settings: set, Logger: logger}
+		if err := n.Open(); err != nil {
+			return err
+		}
+		stop := make(chan struct{})
+		go func() {
+			select {
+			case <-drain:
+				n.Drain()
+			case <-stop:
+			}
+		}()
+		err := n.Run(ctx)
+		close(stop)
+		n.close()
+		var fenced *replica.FencedError
+		if !errors.As(err, &fenced) || ctx.Err() != nil {
+			return err
+		}
+		logger.Warn("fenced, joining again", zap.String("writer", fenced.Writer))
+		// A short pause keeps two processes with one name from fencing each
+		// other in a tight loop.
+		sleep(ctx, time.Second)
+	}
+}
--- a/state/config.go
+++ b/state/config.go
@@ -418,3 +418,13 @@
 
 // Worker returns the worker with the name, or nil.
 func (s *State) Worker(name string) *Worker { return s.workerByName[name] }
+
+// ParsePromises returns the guarantees of the body of a record named
+// account/NAME; it fails with *FieldError.
+func ParsePromises(body []byte) ([]Promise, error) {
+	a, err := parseAccount(body)
+	if err != nil {
+		return nil, err
+	}
+	return a.Guarantees, nil
+}
