--- a/state/block.go
+++ b/state/block.go
@@ -31,7 +31,7 @@
 			}
 		}
 		for _, t := range w.Tasks {
-			if t.Mask&sl.Mask == 0 || t.Phase == TaskStopping || t.Phase == TaskDone || t.Job.Spec.Account == b.Account {
+			if t.Mask&sl.Mask == 0 || t.Phase == TaskStopping || t.Job.Spec.Account == b.Account {
 				continue
 			}
 			if !t.Job.Evictable() {
@@ -191,98 +191,19 @@
 	return true
 }
 
-// reclassify derives which of the account's placed jobs are guaranteed.
-func (s *State) reclassify(a *Account) {
-	for _, b := range a.Blocks {
-		for _, sl := range b.Slots {
-			for _, t := range s.Workers[sl.Worker].Tasks {
-				if t.Job.Spec.Account == a.Name && t.Token == t.Job.Token {
-					t.Job.Guaranteed = s.covered(a.Name, t.Job.Slots)
-				}
-			}
-		}
-	}
-}
-
-// InvariantError reports a state that breaks what must always hold.
-type InvariantError struct {
-	Rule   string
-	Detail string
-}
-
-// Error describes the rule and where it is broken.
-func (e *InvariantError) Error() string { return e.Rule + ": " + e.Detail }
-
-// Check verifies the invariants of the state; it fails with *InvariantError.
-// Its cost grows with the whole state, so it is meant for tests and audits.
-func (s *State) Check() error {
-	for _, w := range s.Workers {
-		var held, reserved shape.Mask
-		for _, t := range w.Tasks {
-			if t.Phase != TaskStopping {
-				if held&t.Mask != 0 {
-					return &InvariantError{"one task for each accelerator", w.Name}
-				}
-				held |= t.Mask
-			}
-		}
-		for _, b := range w.Blocks {
-			if b.Broken {
-				continue
-			}
+// reclassify derives which of the account's placed jobs are guaranteed, for
+// the jobs on its blocks and on the other blocks given.
+func (s *State) reclassify(a *Account, old ...*Block) {
+	for _, list := range [][]*Block{a.Blocks, old} {
+		for _, b := range list {
 			for _, sl := range b.Slots {
-				if sl.Worker != w.Index {
-					continue
-				}
-				if reserved&sl.Mask != 0 {
-					return &InvariantError{"blocks are disjoint", w.Name}
+				for _, t := range s.Workers[sl.Worker].Tasks {
+					j := t.Job
+					if j.Spec.Account == a.Name && t.Token == j.Token && (j.Phase == JobHolding || j.Phase == JobRunning) {
+						j.Guaranteed = s.covered(a.Name, j.Slots)
+					}
 				}
-				reserved |= sl.Mask
-			}
-		}
-		if reserved != w.reserved {
-			return &InvariantError{"reserved mask matches blocks", w.Name}
-		}
-	}
-	for _, a := range s.Accounts {
-		for _, b := range a.Blocks {
-			if b.Broken {
-				continue
-			}
-			if reason, detail := s.checkBlock(b, func(o *Block) bool { return o == b }); reason != "" {
-				return &InvariantError{"guarantees stay reclaimable", a.Name + ": " + string(reason) + ": " + detail}
-			}
-		}
-	}
-	return s.checkJobs()
-}
-
-func (s *State) checkJobs() error {
-	used := map[string]int{}
-	for _, j := range s.Jobs {
-		placed := 0
-		for _, sl := range j.Slots {
-			if t := s.Workers[sl.Worker].task(j.ID, j.Token); t != nil {
-				placed++
-				if t.Phase != TaskStopping {
-					used[j.Spec.Account] += t.Mask.Count()
-				}
-			}
-		}
-		switch j.Phase {
-		case JobHolding:
-			if placed != len(j.Slots) || j.Pending != placed {
-				return &InvariantError{"gangs are whole", j.ID}
-			}
-		case JobRunning:
-			if placed != len(j.Slots) {
-				return &InvariantError{"gangs are whole", j.ID}
-			}
-		case JobWaiting:
-			if placed != 0 {
-				return &InvariantError{"waiting jobs hold nothing", j.ID}
 			}
 		}
 	}
-	return nil
 }
--- a/state/claim.go
+++ b/state/claim.go
@@ -34,6 +34,9 @@
 	if s.Now-at >= ClaimRetention || at-s.Now > MaxBatchAge {
 		return ReasonExpired, c.Request
 	}
+	if len(c.Service) > MaxName {
+		return ReasonField, "service"
+	}
 	if s.Accounts[c.Account] == nil {
 		return ReasonUnknown, c.Account
 	}
@@ -64,6 +67,11 @@
 	if c.Fate != "" && c.Fate != record.FateUnknown {
 		return ReasonPhase, string(c.Fate)
 	}
-	c.Fate, c.Detail = e.Fate, e.Detail
+	switch e.Fate {
+	case record.FateDone, record.FateNotRun, record.FateUnknown:
+	default:
+		return ReasonField, "fate"
+	}
+	c.Fate, c.Detail = e.Fate, clip(e.Detail)
 	return "", ""
 }
--- a/state/config.go
+++ b/state/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 
@@ -16,6 +17,7 @@
 const (
 	MaxConfigBytes = 64 << 10
 	MaxConfigs     = 20_000
+	MaxWorkers     = 50_000 // including those removed
 )
 
 // AccountBody is the body of a record named account/NAME. Fields beyond these
@@ -74,8 +76,8 @@
 // CheckConfig checks the form of a configuration record without applying it;
 // it fails with *FieldError.
 func CheckConfig(name string, body []byte) error {
-	family, _, ok := strings.Cut(name, "/")
-	if !ok || len(name) > 128 {
+	family, local, ok := strings.Cut(name, "/")
+	if !ok || local == "" || len(name) > MaxName {
 		return &FieldError{"name", "want FAMILY/NAME of at most 128 bytes"}
 	}
 	if len(body) > MaxConfigBytes {
@@ -104,6 +106,9 @@
 
 func decode[T any](body []byte) (T, error) {
 	var v T
+	if !bytes.HasPrefix(bytes.TrimLeft(body, " \t\r\n"), []byte("{")) {
+		return v, &FieldError{"body", "not a JSON object"}
+	}
 	d := json.NewDecoder(bytes.NewReader(body))
 	if err := d.Decode(&v); err != nil {
 		var te *json.UnmarshalTypeError
@@ -112,7 +117,7 @@
 		}
 		return v, &FieldError{"body", err.Error()}
 	}
-	if d.More() {
+	if _, err := d.Token(); err != io.EOF {
 		return v, &FieldError{"body", "more than one JSON value"}
 	}
 	return v, nil
@@ -209,15 +214,19 @@
 	return &v, nil
 }
 
-func (s *State) publish(p record.Publish) (Reason, string) {
+func (s *State) publish(b *record.Batch, p record.Publish) (Reason, string) {
 	cur := s.Configs[p.Name]
 	var version uint64
 	if cur != nil {
 		version = cur.Version
 	}
-	if p.Base != version {
+	// Versions are tokens; a second version in one entry would repeat it.
+	if p.Base != version || cur != nil && version == s.token() {
 		return ReasonConflict, fmt.Sprint(version)
 	}
+	if cur == nil && len(p.Body) == 0 {
+		return ReasonUnknown, p.Name
+	}
 	if cur == nil && len(s.Configs) >= MaxConfigs {
 		return ReasonFull, "configs"
 	}
@@ -226,6 +235,14 @@
 			return ReasonUpgrade, m.Name
 		}
 	}
+	// Every program that folds this entry has to know the reader; older ones
+	// stop at the batch.
+	if p.Reader > max(b.Reader, 1) {
+		return ReasonField, "reader: above the batch's"
+	}
+	if len(p.By) > MaxName {
+		return ReasonField, "by"
+	}
 	if err := CheckConfig(p.Name, p.Body); err != nil {
 		return ReasonField, err.Error()
 	}
@@ -251,8 +268,10 @@
 func (s *State) publishAccount(name string, p record.Publish) (Reason, string) {
 	old := s.Accounts[name]
 	if len(p.Body) == 0 {
-		if old != nil && old.Used > 0 {
-			return ReasonBusy, "account has running jobs"
+		for _, j := range s.Jobs {
+			if j.Spec.Account == name && !j.Phase.Terminal() && j.Phase != JobUnknown {
+				return ReasonBusy, "account has jobs that have not ended"
+			}
 		}
 		if old != nil {
 			for _, b := range old.Blocks {
@@ -284,7 +303,11 @@
 	for _, b := range blocks {
 		s.linkBlock(b)
 	}
-	s.reclassify(a)
+	if old != nil {
+		s.reclassify(a, old.Blocks...)
+	} else {
+		s.reclassify(a)
+	}
 	return "", ""
 }
 
@@ -369,6 +392,9 @@
 			}
 		}
 	}
+	if len(s.Workers)+len(body.Workers) > MaxWorkers {
+		return ReasonFull, "workers"
+	}
 	if rack == nil {
 		rack = s.addRack(name, body.Domain)
 	}
--- a/state/digest.go
+++ b/state/digest.go
@@ -26,6 +26,7 @@
 	word(b.Seq)
 	word(uint64(s.Now))
 	for i, o := range out {
+		_, _ = h.WriteString(string(o.Kind))
 		_, _ = h.WriteString(o.ID)
 		_, _ = h.WriteString(string(o.Reason))
 		_, _ = h.Write(b.Records[i].Body)
--- a/state/image.go
+++ b/state/image.go
@@ -13,6 +13,7 @@
 type Image struct {
 	Offset   uint64         `cbor:"offset"`
 	Now      int64          `cbor:"now"`
+	Ahead    Clock          `cbor:"ahead"`
 	Chain    uint64         `cbor:"chain"`
 	Snap     uint64         `cbor:"snap"`
 	Swept    int64          `cbor:"swept"`
@@ -51,6 +52,11 @@
 	Revision  uint64           `cbor:"rev"`
 	Since     int64            `cbor:"since"`
 	Gone      bool             `cbor:"gone"`
+	Cause     string           `cbor:"cause,omitempty"`
+	Strikes   uint32           `cbor:"strikes,omitempty"`
+	Done      uint32           `cbor:"done,omitempty"`
+	Failed    uint32           `cbor:"failed,omitempty"`
+	Failures  []Failure        `cbor:"failures,omitempty"`
 	Tasks     []taskImage      `cbor:"tasks"`
 	Blocks    []blockRef       `cbor:"blocks"` // order of Worker.Blocks
 }
@@ -85,6 +91,7 @@
 	Failures   int           `cbor:"failures"`
 	FailedOn   []uint32      `cbor:"failedon"`
 	Progress   float64       `cbor:"progress"`
+	Kept       float64       `cbor:"kept,omitempty"`
 	Lost       int64         `cbor:"lost"`
 	Cause      string        `cbor:"cause"`
 }
@@ -97,7 +104,7 @@
 // Image returns the state as plain data; it shares memory with the state.
 func (s *State) Image() *Image {
 	im := &Image{
-		Offset: s.Offset, Now: s.Now, Chain: s.Chain, Snap: s.Snap, Swept: s.lastSweep,
+		Offset: s.Offset, Now: s.Now, Ahead: s.Ahead, Chain: s.Chain, Snap: s.Snap, Swept: s.lastSweep,
 		Members: s.Members,
 		Writers: sorted(s.Writers, func(w *Writer) string { return w.ID }),
 		Configs: sorted(s.Configs, func(c *Config) string { return c.Name }),
@@ -116,6 +123,7 @@
 		wi := workerImage{
 			Name: w.Name, Addr: w.Addr, Rack: w.Rack.Index, GPUs: w.GPUs, Cores: w.Cores, Memory: w.Memory,
 			Condition: w.Condition, Revision: w.Revision, Since: w.Since, Gone: w.Gone,
+			Cause: w.Cause, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
 		}
 		for _, t := range w.Tasks {
 			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
@@ -130,7 +138,7 @@
 			Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
 			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
-			Progress: j.Progress, Lost: j.Lost, Cause: j.Cause,
+			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: j.Cause,
 		})
 	}
 	for r, n := range s.Refused {
@@ -160,7 +168,7 @@
 // Load builds the state that the image was taken from; it fails with
 // *ImageError. The state takes over the image's memory.
 func Load(im *Image) (*State, error) {
-	s := &State{Offset: im.Offset, Now: im.Now, Chain: im.Chain, Snap: im.Snap, lastSweep: im.Swept, Members: im.Members}
+	s := &State{Offset: im.Offset, Now: im.Now, Ahead: im.Ahead, Chain: im.Chain, Snap: im.Snap, lastSweep: im.Swept, Members: im.Members}
 	s.init()
 	for _, w := range im.Writers {
 		s.Writers[w.ID] = w
@@ -182,7 +190,7 @@
 			ID: j.Spec.Job, Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
 			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
-			Progress: j.Progress, Lost: j.Lost, Cause: j.Cause,
+			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: j.Cause,
 		}
 	}
 	if err := s.loadAccounts(im); err != nil {
@@ -210,6 +218,7 @@
 		w := &Worker{
 			Index: uint32(i), Name: wi.Name, Addr: wi.Addr, Rack: s.Racks[wi.Rack], GPUs: wi.GPUs, Cores: wi.Cores,
 			Memory: wi.Memory, Condition: wi.Condition, Revision: wi.Revision, Since: wi.Since, Gone: wi.Gone,
+			Cause: wi.Cause, Strikes: wi.Strikes, Done: wi.Done, Failed: wi.Failed, Failures: wi.Failures,
 		}
 		s.Workers = append(s.Workers, w)
 		s.workerByName[w.Name] = w
--- a/state/job.go
+++ b/state/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"iter"
 	"slices"
+	"strings"
 
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/shape"
@@ -12,17 +13,19 @@
 // Limits of jobs.
 const (
 	MaxJobs     = 100_000
-	MaxFailures = 3 // a job that failed on this many workers is failed
+	MaxFailures = 3  // a job that failed on this many different workers is failed
+	MaxAttempts = 10 // a job that failed this often is failed, on whatever workers
 	MaxGrace    = 30_000
+	MaxName     = 128    // bytes of an id or name
+	MaxInput    = 4096   // bytes of a job's input
+	maxAmount   = 1e9    // cores or GB for each accelerator
+	maxCause    = 256    // bytes of a cause that are kept
 	StartWindow = 30_000 // milliseconds after a start in which Starting lists the job
 )
 
 func (s *State) submit(v record.Submit) (Reason, string) {
-	if v.Job == "" || len(v.Job) > 128 {
-		return ReasonField, "job"
-	}
-	if len(v.Input) > 4096 {
-		return ReasonField, "input"
+	if field := badField(v); field != "" {
+		return ReasonField, field
 	}
 	if old := s.Jobs[v.Job]; old != nil {
 		if old.Spec == v {
@@ -34,9 +37,6 @@
 	if a == nil {
 		return ReasonUnknown, v.Account
 	}
-	if v.Shape.Members < 1 || v.Shape.Members > shape.MaxMembers || v.Shape.GPUs < 1 || v.Shape.GPUs > shape.MaxGPUs || v.Shape.Level > shape.LevelDomain {
-		return ReasonField, "shape"
-	}
 	if a.Quota > 0 && v.Shape.Total() > a.Quota {
 		return ReasonQuota, fmt.Sprintf("shape has %d accelerators, quota is %d", v.Shape.Total(), a.Quota)
 	}
@@ -50,36 +50,58 @@
 	return "", ""
 }
 
+// badField returns the name of the first field that is not valid, or "".
+func badField(v record.Submit) string {
+	switch {
+	case v.Job == "" || len(v.Job) > MaxName:
+		return "job"
+	case len(v.Kind) > MaxName:
+		return "kind"
+	case len(v.Input) > MaxInput:
+		return "input"
+	case v.Shape.Members < 1 || v.Shape.Members > shape.MaxMembers || v.Shape.GPUs < 1 || v.Shape.GPUs > shape.MaxGPUs || v.Shape.Level > shape.LevelDomain:
+		return "shape"
+	case v.Expect < 0:
+		return "expect"
+	case !(v.Cores >= 0 && v.Cores <= maxAmount): // the negated form also refuses what is not a number
+		return "cores"
+	case !(v.Memory >= 0 && v.Memory <= maxAmount):
+		return "memory"
+	}
+	return ""
+}
+
 // possible reports whether some unit could run the job if it were empty.
 func (s *State) possible(v record.Submit) (Reason, string) {
 	share := false
-	perRack := make([]int, len(s.Racks))
-	perDomain := make([]int, len(s.Domains))
+	units := 0
+	if v.Shape.Level == shape.LevelRack {
+		units = len(s.Racks)
+	} else if v.Shape.Level == shape.LevelDomain {
+		units = len(s.Domains)
+	}
+	members := make([]int, units)
 	for _, w := range s.Workers {
 		if w.Gone || w.GPUs < v.Shape.GPUs {
 			continue
 		}
 		n := float64(w.GPUs)
-		if v.Cores > 0 && v.Cores > w.Cores/n || v.Memory > 0 && v.Memory > w.Memory/n {
+		if v.Cores > w.Cores/n || v.Memory > w.Memory/n {
 			share = true
 			continue
 		}
 		m := w.GPUs / v.Shape.GPUs
+		switch v.Shape.Level {
+		case shape.LevelRack:
+			members[w.Rack.Index] += m
+			m = members[w.Rack.Index]
+		case shape.LevelDomain:
+			members[w.Rack.Domain.Index] += m
+			m = members[w.Rack.Domain.Index]
+		}
 		if m >= v.Shape.Members {
 			return "", ""
 		}
-		perRack[w.Rack.Index] += m
-		perDomain[w.Rack.Domain.Index] += m
-	}
-	units := perDomain
-	switch v.Shape.Level {
-	case shape.LevelWorker:
-		units = nil
-	case shape.LevelRack:
-		units = perRack
-	}
-	if slices.ContainsFunc(units, func(n int) bool { return n >= v.Shape.Members }) {
-		return "", ""
 	}
 	if share {
 		return ReasonShare, "no worker's share of cores and memory for each accelerator is large enough"
@@ -92,120 +114,17 @@
 	if j == nil {
 		return ReasonUnknown, c.Job
 	}
-	if j.Phase.Terminal() {
-		return ReasonPhase, j.Phase.String()
-	}
-	s.endJob(j, JobCancelled, "cancelled by "+c.By)
-	return "", ""
-}
-
-func (s *State) place(p record.Place) (Reason, string) {
-	j := s.Jobs[p.Job]
-	if j == nil {
-		return ReasonUnknown, p.Job
-	}
-	if j.Phase != JobWaiting {
+	// An unknown job may have run, which a cancellation must not hide.
+	if j.Phase.Terminal() || j.Phase == JobUnknown {
 		return ReasonPhase, j.Phase.String()
 	}
-	if j.Revision != p.Revision {
-		return ReasonStale, p.Job
-	}
-	if p.Grace < 0 || p.Grace > MaxGrace {
-		return ReasonField, "grace"
-	}
-	if detail := s.fits(j.Spec.Shape, p.Slots); detail != "" {
-		return ReasonField, detail
-	}
-	a := s.Accounts[j.Spec.Account]
-	if a == nil {
-		return ReasonUnknown, j.Spec.Account
-	}
-	guaranteed := s.covered(a.Name, p.Slots)
-	if a.Quota > 0 && a.Used+j.Spec.Shape.Total() > a.Quota {
-		return ReasonQuota, a.Name
-	}
-	victims, reason, detail := s.victims(p.Evict, guaranteed)
-	if reason != "" {
-		return reason, detail
-	}
-	for _, sl := range p.Slots {
-		w := s.Workers[sl.Worker]
-		if !w.Ready() {
-			return ReasonWorker, w.Name
-		}
-		if j.Spec.Once && s.foreignReserve(w, a.Name)&sl.Mask != 0 {
-			return ReasonGuarantee, "job cannot be evicted from a block of another account"
-		}
-		for _, t := range w.Tasks {
-			if t.Mask&sl.Mask != 0 && t.Phase != TaskStopping && !slices.Contains(victims, t.Job) {
-				return ReasonBusy, w.Name + ": job " + t.Job.ID
-			}
-		}
-	}
-	for _, v := range victims {
-		if v.Phase == JobRunning {
-			v.Lost += s.Now - v.Started
-		}
-		s.stopJob(v, p.Grace, "evicted for job "+j.ID)
-	}
-	j.Phase, j.Token, j.Slots = JobHolding, s.token(), p.Slots
-	j.Guaranteed = guaranteed
-	j.Pending = len(p.Slots)
-	j.Cause = "placed"
-	s.touch(j)
-	a.Used += j.Spec.Shape.Total()
-	for _, sl := range p.Slots {
-		s.addTask(s.Workers[sl.Worker], &Task{Job: j, Token: j.Token, Mask: sl.Mask, Phase: TaskHold})
+	if len(c.By) > MaxName {
+		return ReasonField, "by"
 	}
+	s.endJob(j, JobCancelled, "cancelled by "+c.By)
 	return "", ""
 }
 
-// victims resolves the placements to evict. Work outside the placed job's own
-// blocks can evict nothing: only a guarantee entitles to eviction.
-func (s *State) victims(list []record.Victim, guaranteed bool) ([]*Job, Reason, string) {
-	if len(list) > 0 && !guaranteed {
-		return nil, ReasonGuarantee, "only a guaranteed placement can evict"
-	}
-	var out []*Job
-	for _, v := range list {
-		j := s.Jobs[v.Job]
-		if j == nil {
-			return nil, ReasonUnknown, v.Job
-		}
-		if j.Token != v.Token {
-			return nil, ReasonToken, v.Job
-		}
-		if j.Phase == JobStopping {
-			continue
-		}
-		if j.Phase != JobHolding && j.Phase != JobRunning {
-			return nil, ReasonPhase, v.Job
-		}
-		if !j.Evictable() {
-			return nil, ReasonGuarantee, "job " + v.Job + " cannot be evicted"
-		}
-		out = append(out, j)
-	}
-	return out, "", ""
-}
-
-// foreignReserve returns the worker's accelerators in whole blocks of other
-// accounts.
-func (s *State) foreignReserve(w *Worker, account string) shape.Mask {
-	var m shape.Mask
-	for _, b := range w.Blocks {
-		if b.Broken || b.Account == account {
-			continue
-		}
-		for _, sl := range b.Slots {
-			if sl.Worker == w.Index {
-				m |= sl.Mask
-			}
-		}
-	}
-	return m
-}
-
 func (s *State) start(v record.Start) (Reason, string) {
 	j, reason, detail := s.placed(v.Job, v.Token, JobHolding)
 	if reason != "" {
@@ -240,7 +159,7 @@
 	if reason != "" {
 		return reason, detail
 	}
-	s.stopJob(j, 0, "start failed: "+v.Cause)
+	s.stopJob(j, 0, "start failed: "+clip(v.Cause))
 	return "", ""
 }
 
@@ -255,8 +174,7 @@
 	if v.Grace < 0 || v.Grace > MaxGrace {
 		return ReasonField, "grace"
 	}
-	j.Lost += s.Now - j.Started
-	s.stopJob(j, v.Grace, v.Cause)
+	s.stopJob(j, v.Grace, clip(v.Cause))
 	return "", ""
 }
 
@@ -294,6 +212,11 @@
 // stopJob takes the job off its accelerators; it waits again when all of its
 // workers have reported that they stopped.
 func (s *State) stopJob(j *Job, grace int64, cause string) {
+	j.Kept = 0
+	if j.Phase == JobRunning {
+		j.Kept = 1
+		j.Lost += s.Now - j.Started // less what a checkpoint keeps; see stopped
+	}
 	s.release(j, grace)
 	j.Phase, j.Cause = JobStopping, cause
 	s.touch(j)
@@ -338,6 +261,7 @@
 		return
 	}
 	t.Job.Pending--
+	t.Job.Kept = 0 // nothing is known of a checkpoint
 	s.settleStop(t.Job)
 }
 
@@ -347,114 +271,37 @@
 	}
 	j.Pending = 0
 	j.Slots = nil
-	if j.Failures >= MaxFailures {
-		s.endJob(j, JobFailed, j.Cause)
+	if j.Failures >= MaxAttempts || distinct(j.FailedOn) >= MaxFailures {
+		s.endJob(j, JobFailed, "poison: "+j.Cause)
 		return
 	}
 	j.Phase = JobWaiting
 	s.touch(j)
 }
 
-func (s *State) report(r record.Report) (Reason, string) {
-	w := s.worker(r.Worker)
-	if w == nil {
-		return ReasonUnknown, fmt.Sprint(r.Worker)
-	}
-	reason := ReasonToken
-	var detail string
-	for _, res := range r.Results {
-		if s.result(w, res) {
-			reason = "" // accepted when at least one result took effect
-		} else {
-			detail = res.Job
+// distinct returns how many different workers the list names.
+func distinct(list []uint32) int {
+	n := 0
+	for i, w := range list {
+		if !slices.Contains(list[:i], w) {
+			n++
 		}
 	}
-	if reason == "" {
-		detail = ""
-	}
-	return reason, detail
+	return n
 }
 
-func (s *State) result(w *Worker, r record.Result) bool {
-	t := w.task(r.Job, r.Token)
-	if t == nil || t.Phase == TaskDone {
-		return s.lateResult(w, r)
-	}
-	j := t.Job
-	if t.Phase == TaskStopping {
-		if j.Token == t.Token && r.Progress > j.Progress && j.Spec.Checkpoint {
-			j.Lost = max(0, j.Lost-int64(float64(r.Ran)*(r.Progress-j.Progress)))
-			j.Progress = r.Progress
-		}
-		s.finishStop(w, t)
-		return true
+// clip bounds a text that the state keeps.
+func clip(text string) string {
+	if len(text) <= maxCause {
+		return text
 	}
-	switch {
-	case r.Outcome == record.OutcomeDone && j.Phase == JobRunning:
-		t.Phase = TaskDone
-		j.Pending--
-		if j.Pending == 0 {
-			s.endJob(j, JobDone, "done")
-			j.Progress = 1
-		}
-	case j.Phase == JobHolding:
-		s.dropTask(w, t)
-		j.Pending--
-		s.stopJob(j, 0, "worker "+w.Name+" released its hold")
-	case r.Outcome == record.OutcomeFailed:
-		j.Failures++
-		j.FailedOn = append(j.FailedOn, w.Index)
-		s.dropTask(w, t)
-		j.Pending--
-		if j.Spec.Once {
-			s.endJob(j, JobFailed, "failed on worker "+w.Name)
-		} else {
-			j.Lost += r.Ran
-			s.stopJob(j, 0, "failed on worker "+w.Name)
-		}
-	default: // stopped by lease, or the worker lost it in a restart
-		s.dropTask(w, t)
-		j.Pending--
-		if j.Spec.Once {
-			s.endJob(j, JobUnknown, "worker "+w.Name+" stopped it")
-		} else {
-			j.Lost += r.Ran
-			s.stopJob(j, 0, "worker "+w.Name+" stopped it")
-		}
-	}
-	return true
-}
-
-// Wants reports whether a result of the worker would change the state.
-func (s *State) Wants(w *Worker, job string, token uint64, o record.Outcome) bool {
-	if t := w.task(job, token); t != nil {
-		return t.Phase != TaskDone
-	}
-	return s.wantsLate(job, token, o)
-}
-
-// lateResult takes the truth about a job that became unknown when its worker
-// was lost.
-func (s *State) lateResult(w *Worker, r record.Result) bool {
-	if !s.wantsLate(r.Job, r.Token, r.Outcome) {
-		return false
-	}
-	j := s.Jobs[r.Job]
-	if j.Slots[0].Worker != w.Index {
-		return false
-	}
-	s.endJob(j, JobDone, "done, learned from worker "+w.Name)
-	return true
-}
-
-func (s *State) wantsLate(job string, token uint64, o record.Outcome) bool {
-	j := s.Jobs[job]
-	return j != nil && j.Phase == JobUnknown && j.Token == token && o == record.OutcomeDone && len(j.Slots) == 1
+	return strings.ToValidUTF8(text[:maxCause], "")
 }
 
 // sweep forgets what is beyond its retention.
 func (s *State) sweep() {
 	s.lastSweep = s.Now
+	s.sweepLost()
 	for id, w := range s.Writers {
 		if s.Now-w.At > WriterRetention && s.Member(id) == nil {
 			delete(s.Writers, id)
@@ -467,7 +314,7 @@
 		}
 	}
 	for id, j := range s.Jobs {
-		if j.Phase.Terminal() && s.Now-j.Changed > JobRetention && !s.hasTasks(j) {
+		if (j.Phase.Terminal() || j.Phase == JobUnknown) && s.Now-j.Changed > JobRetention && !s.hasTasks(j) {
 			delete(s.Jobs, id)
 		}
 	}
--- a/state/member.go
+++ b/state/member.go
@@ -7,6 +7,9 @@
 	"jasminelane.example/lane/record"
 )
 
+// MaxMembers bounds the live members.
+const MaxMembers = 2000
+
 // Member returns the live member with the writer identity, or nil.
 func (s *State) Member(writer string) *Member {
 	for _, m := range s.Members {
@@ -18,17 +21,33 @@
 }
 
 func (s *State) join(b *record.Batch, j record.Join) (Reason, string) {
-	if j.Name == "" {
+	switch {
+	case j.Name == "" || len(j.Name) > MaxName:
 		return ReasonField, "name"
+	case len(j.Addr) > MaxName:
+		return ReasonField, "addr"
+	case len(j.Domain) > MaxName:
+		return ReasonField, "domain"
 	}
+	newest := ""
 	for _, c := range s.Configs {
-		if c.Reader > j.Version {
-			return ReasonUpgrade, c.Name
+		// The least name, because the order of the map differs by instance.
+		if !c.Gone && c.Reader > j.Version && (newest == "" || c.Name < newest) {
+			newest = c.Name
 		}
 	}
+	if newest != "" {
+		return ReasonUpgrade, newest
+	}
+	if s.Writers[b.Writer].Fenced {
+		return ReasonFenced, b.Writer // left or was evicted earlier in this batch
+	}
 	if s.Member(b.Writer) != nil {
 		return ReasonExists, b.Writer
 	}
+	if len(s.Members) >= MaxMembers {
+		return ReasonFull, "members"
+	}
 	// A new incarnation replaces the older one of the same instance.
 	for _, m := range s.Members {
 		if m.Name == j.Name {
--- /dev/null
+++ b/state/place.go
@@ -0,0 +1,142 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+)
+
+func (s *State) place(p record.Place) (Reason, string) {
+	j := s.Jobs[p.Job]
+	if j == nil {
+		return ReasonUnknown, p.Job
+	}
+	if j.Phase != JobWaiting {
+		return ReasonPhase, j.Phase.String()
+	}
+	// A proposal cannot be based on a change in its own entry; tokens would
+	// repeat.
+	if j.Revision != p.Revision || j.Token == s.token() {
+		return ReasonStale, p.Job
+	}
+	if p.Grace < 0 || p.Grace > MaxGrace {
+		return ReasonField, "grace"
+	}
+	if detail := s.fits(j.Spec.Shape, p.Slots); detail != "" {
+		return ReasonField, detail
+	}
+	a := s.Accounts[j.Spec.Account]
+	if a == nil {
+		return ReasonUnknown, j.Spec.Account
+	}
+	guaranteed := s.covered(a.Name, p.Slots)
+	victims, reason, detail := s.victims(p, guaranteed)
+	if reason != "" {
+		return reason, detail
+	}
+	used := a.Used + j.Spec.Shape.Total()
+	for _, v := range victims {
+		if v.Spec.Account == a.Name {
+			used -= v.Spec.Shape.Total()
+		}
+	}
+	if a.Quota > 0 && used > a.Quota {
+		return ReasonQuota, a.Name
+	}
+	for _, sl := range p.Slots {
+		w := s.Workers[sl.Worker]
+		if !w.Ready() {
+			return ReasonWorker, w.Name
+		}
+		if j.Spec.Once && s.foreignReserve(w, a.Name)&sl.Mask != 0 {
+			return ReasonGuarantee, "job cannot be evicted from a block of another account"
+		}
+		for _, t := range w.Tasks {
+			if t.Mask&sl.Mask != 0 && t.Phase != TaskStopping && !slices.Contains(victims, t.Job) {
+				return ReasonBusy, w.Name + ": job " + t.Job.ID
+			}
+		}
+	}
+	for _, v := range victims {
+		s.stopJob(v, p.Grace, "evicted for job "+j.ID)
+	}
+	j.Phase, j.Token, j.Slots = JobHolding, s.token(), p.Slots
+	j.Guaranteed = guaranteed
+	j.Pending = len(p.Slots)
+	j.Cause = "placed"
+	s.touch(j)
+	a.Used += j.Spec.Shape.Total()
+	for _, sl := range p.Slots {
+		s.addTask(s.Workers[sl.Worker], &Task{Job: j, Token: j.Token, Mask: sl.Mask, Phase: TaskHold})
+	}
+	return "", ""
+}
+
+// victims resolves the placements to evict. Work outside the placed job's own
+// blocks can evict nothing: only a guarantee entitles to eviction.
+func (s *State) victims(p record.Place, guaranteed bool) ([]*Job, Reason, string) {
+	if len(p.Evict) > 0 && !guaranteed {
+		return nil, ReasonGuarantee, "only a guaranteed placement can evict"
+	}
+	var out []*Job
+	for i, v := range p.Evict {
+		j := s.Jobs[v.Job]
+		if j == nil {
+			return nil, ReasonUnknown, v.Job
+		}
+		if j.Token != v.Token || j.Token == s.token() {
+			return nil, ReasonToken, v.Job
+		}
+		if j.Phase == JobStopping || slices.Contains(out, j) {
+			continue
+		}
+		if j.Phase != JobHolding && j.Phase != JobRunning {
+			return nil, ReasonPhase, v.Job
+		}
+		if !j.Evictable() {
+			return nil, ReasonGuarantee, "job " + v.Job + " cannot be evicted"
+		}
+		if !overlap(j.Slots, p.Slots) {
+			return nil, ReasonField, fmt.Sprintf("evict[%d]: job %s is not in the way", i, v.Job)
+		}
+		out = append(out, j)
+	}
+	return out, "", ""
+}
+
+// overlap reports whether two lists of slots, both in ascending order of
+// workers, share accelerators.
+func overlap(a, b []shape.Slot) bool {
+	for len(a) > 0 && len(b) > 0 {
+		switch {
+		case a[0].Worker < b[0].Worker:
+			a = a[1:]
+		case a[0].Worker > b[0].Worker:
+			b = b[1:]
+		case a[0].Mask&b[0].Mask != 0:
+			return true
+		default:
+			a, b = a[1:], b[1:]
+		}
+	}
+	return false
+}
+
+// foreignReserve returns the worker's accelerators in whole blocks of other
+// accounts.
+func (s *State) foreignReserve(w *Worker, account string) shape.Mask {
+	var m shape.Mask
+	for _, b := range w.Blocks {
+		if b.Broken || b.Account == account {
+			continue
+		}
+		for _, sl := range b.Slots {
+			if sl.Worker == w.Index {
+				m |= sl.Mask
+			}
+		}
+	}
+	return m
+}
--- a/state/state.go
+++ b/state/state.go
@@ -24,6 +24,7 @@
 type State struct {
 	Offset   uint64 // next log offset to apply
 	Now      int64  // the fold's clock, Unix milliseconds
+	Ahead    Clock  // last clock that was too far ahead
 	Chain    uint64 // digest of all entries and outcomes so far
 	Snap     uint64 // newest snapshot that a batch has named; see record.Batch
 	Members  []*Member
@@ -46,6 +47,13 @@
 	hash         *xxhash.Digest
 }
 
+// Clock is a writer's clock that was further ahead of the fold's clock than
+// one batch may move it.
+type Clock struct {
+	Writer string `cbor:"writer"`
+	At     int64  `cbor:"at"` // Unix milliseconds
+}
+
 // Member is a live incarnation of an instance.
 type Member struct {
 	Writer  string `cbor:"writer"`
@@ -131,6 +139,11 @@
 	Revision  uint64 // grows with each change of Condition
 	Since     int64  // fold's clock at that change
 	Gone      bool   // removed from the configuration
+	Cause     string // of the current Condition
+	Strikes   uint32 // how often it was set aside for failures since its last success
+	Done      uint32 // members done here recently
+	Failed    uint32 // jobs failed here recently
+	Failures  []Failure
 	Tasks     []*Task
 	Blocks    []*Block
 
@@ -205,6 +218,7 @@
 	Failures   int      // starts that ended in a failure of the job itself
 	FailedOn   []uint32 // workers on which it failed
 	Progress   float64  // 0 to 1, kept by its last checkpoint
+	Kept       float64  // in phase JobStopping: least progress that its members have kept so far
 	Lost       int64    // milliseconds of work lost by evictions and failures
 	Cause      string   // why it stands where it stands
 }
@@ -271,10 +285,8 @@
 	s.Offset++
 	reason := s.admit(b)
 	if reason == "" {
-		s.Now = max(s.Now, min(b.At, s.Now+MaxClockStep))
-		if s.Now == 0 || s.Offset == 1 {
-			s.Now = b.At
-		}
+		s.tick(b)
+		s.Writers[b.Writer].At = s.Now
 		s.Snap = max(s.Snap, b.Snap)
 	}
 	out := make([]Outcome, len(b.Records))
@@ -344,10 +356,28 @@
 		return ReasonSequence
 	}
 	w.Seq = b.Seq
-	w.At = max(s.Now, b.At)
 	return ""
 }
 
+// tick advances the fold's clock. One writer moves it by at most MaxClockStep
+// for each batch; where two writers agree that more time has passed, as after
+// an outage of the log, it follows the earlier of the two.
+func (s *State) tick(b *record.Batch) {
+	if s.Now == 0 {
+		s.Now = max(0, b.At)
+	}
+	limit := s.Now + MaxClockStep
+	if b.At > limit {
+		if s.Ahead.Writer != "" && s.Ahead.Writer != b.Writer {
+			limit = max(limit, s.Ahead.At)
+		}
+		if s.Ahead.Writer == "" || s.Ahead.Writer == b.Writer || s.Ahead.At <= s.Now {
+			s.Ahead = Clock{b.Writer, b.At}
+		}
+	}
+	s.Now = max(s.Now, min(b.At, limit))
+}
+
 func (s *State) apply(b *record.Batch, r record.Record) (Reason, string) {
 	switch r.Kind {
 	case record.KindJoin:
@@ -357,7 +387,7 @@
 	case record.KindEvict:
 		return with(r, s.evictMember)
 	case record.KindPublish:
-		return with(r, s.publish)
+		return with(r, func(p record.Publish) (Reason, string) { return s.publish(b, p) })
 	case record.KindSubmit:
 		return with(r, s.submit)
 	case record.KindCancel:
--- a/state/worker.go
+++ b/state/worker.go
@@ -8,6 +8,24 @@
 	"jasminelane.example/lane/shape"
 )
 
+// CauseFailures is the cause of setting aside a worker that fails tasks; such
+// a worker is probed again.
+const CauseFailures = "failures"
+
+const (
+	// LostRetention is how long a stopping task stays on a lost worker at
+	// most, milliseconds: two leases and the largest step of the fold's clock.
+	LostRetention = 45_000
+	maxFailures   = 8 // remembered failures of a worker
+)
+
+// Failure is a failure of a job on a worker.
+type Failure struct {
+	Job     string `cbor:"job"`
+	Account string `cbor:"account"`
+	At      int64  `cbor:"at"` // fold's clock
+}
+
 // Ready reports whether new work may be placed on the worker.
 func (w *Worker) Ready() bool { return !w.Gone && w.Condition == record.ConditionReady }
 
@@ -82,7 +100,13 @@
 	if h.Condition == w.Condition {
 		return ReasonPhase, w.Name
 	}
-	w.Condition = h.Condition
+	if h.Revision == s.token() {
+		return ReasonStale, w.Name // a proposal cannot be based on a change in its own entry
+	}
+	if h.Condition == record.ConditionAside && h.Cause == CauseFailures && w.Condition == record.ConditionReady {
+		w.Strikes++
+	}
+	w.Condition, w.Cause = h.Condition, clip(h.Cause)
 	w.Revision = s.token()
 	w.Since = s.Now
 	s.touched(w)
@@ -95,34 +119,70 @@
 	return "", ""
 }
 
-// loseTasks releases the gangs that had members on a lost worker. The tasks
-// themselves end by lease; the accelerators of the lost worker are not used
-// while it is lost.
+// loseTasks releases the gangs that have members on a lost worker. Members
+// that ran there stay as stopping until the worker, or a keeper one further
+// lease later, reports that they have ended, because the worker may still
+// run them under its lease.
 func (s *State) loseTasks(w *Worker) {
 	for _, t := range slices.Clone(w.Tasks) {
 		j := t.Job
-		if t.Token != j.Token || t.Phase == TaskDone {
-			s.dropTask(w, t)
+		if t.Phase == TaskDone || t.Phase == TaskStopping || t.Token != j.Token {
 			continue
 		}
-		s.dropTask(w, t)
-		j.Pending--
-		switch j.Phase {
-		case JobHolding:
+		switch {
+		case j.Phase == JobHolding:
+			// It is never told to run, so its accelerators need no wait.
+			s.dropTask(w, t)
+			j.Pending--
 			s.stopJob(j, 0, "worker "+w.Name+" lost while holding")
-		case JobRunning:
-			if j.Spec.Once {
-				s.endJob(j, JobUnknown, "worker "+w.Name+" lost while running")
-			} else {
-				j.Lost += s.Now - j.Started
-				s.stopJob(j, 0, "worker "+w.Name+" lost while running")
+		case j.Spec.Once:
+			s.endJob(j, JobUnknown, "worker "+w.Name+" lost while running")
+		default:
+			s.stopJob(j, 0, "worker "+w.Name+" lost while running")
+		}
+	}
+}
+
+// sweepLost ends the stopping tasks of workers that have been lost for so long
+// that their leases have certainly expired, should no keeper have done so.
+func (s *State) sweepLost() {
+	for _, w := range s.Workers {
+		if w.Condition != record.ConditionLost || s.Now-w.Since < LostRetention {
+			continue
+		}
+		for _, t := range slices.Clone(w.Tasks) {
+			if t.Phase == TaskStopping {
+				s.finishStop(w, t)
 			}
-		case JobStopping:
-			s.settleStop(j)
 		}
 	}
 }
 
+// failed notes that a job failed on the worker.
+func (w *Worker) failed(j *Job, now int64) {
+	w.Failures = append(w.Failures, Failure{Job: j.ID, Account: j.Spec.Account, At: now})
+	if len(w.Failures) > maxFailures {
+		w.Failures = slices.Delete(w.Failures, 0, 1)
+	}
+	w.Failed++
+	w.age()
+}
+
+// succeeded notes that members of a job were done on the worker; it is then no
+// longer on probation.
+func (w *Worker) succeeded() {
+	w.Done++
+	w.Strikes = 0
+	w.age()
+}
+
+// age halves the counts, so that they follow the recent past.
+func (w *Worker) age() {
+	if w.Done+w.Failed >= 64 {
+		w.Done, w.Failed = w.Done/2, w.Failed/2
+	}
+}
+
 // addTask puts a task on its worker.
 func (s *State) addTask(w *Worker, t *Task) {
 	w.Tasks = append(w.Tasks, t)
