--- a/caller/api.go
+++ b/caller/api.go
@@ -121,7 +121,10 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			return context.WithValue(ctx, connKey{}, a.conns[c])
+			// Called before StateNew is reported.
+			k := &callerConn{}
+			a.conns[c] = k
+			return context.WithValue(ctx, connKey{}, k)
 		},
 		ErrorLog: zap.NewStdLog(a.logger()),
 	}
@@ -145,12 +148,10 @@
 	defer a.mu.Unlock()
 	switch st {
 	case http.StateNew:
-		if len(a.conns) >= a.MaxConns {
+		if len(a.conns) > a.MaxConns {
 			a.count(route.ReasonAccount)
 			c.Close()
-			return
 		}
-		a.conns[c] = &callerConn{}
 	case http.StateClosed, http.StateHijacked:
 		if k := a.conns[c]; k != nil && k.account != "" {
 			a.drop(a.open, k.account)
@@ -224,6 +225,9 @@
 	}
 	q.Body = body
 	ans := a.Router.Do(r.Context(), q)
+	if ans.Reason == route.ReasonDraining {
+		w.Header().Set("Connection", "close") // the next request finds another instance
+	}
 	reply(w, code(ans.Fate, ans.Reason), ans.RetryAfter, &Reply{
 		Request: q.ID, Fate: ans.Fate, Reason: string(ans.Reason), Detail: ans.Detail, Status: ans.Status, Body: ans.Body,
 	})
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -204,6 +204,9 @@
 		if err := r.proposeFates(batch); err != nil {
 			r.logger().Warn("settle", zap.Int("fates", n), zap.Error(err))
 			r.count("retry", route.ReasonLogDown)
+			if r.giveUp() {
+				return
+			}
 			time.Sleep(time.Duration(50+route.Jitter(attempt, 50, 5000, rand.Float64)) * time.Millisecond)
 			attempt++
 			continue
@@ -221,6 +224,17 @@
 	}
 }
 
+// giveUp leaves the claims open after a drain that ended without them; an
+// open claim is answered unknown.
+func (r *Router) giveUp() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		r.settler = false
+	}
+	return r.closed
+}
+
 // proposeFates returns nil when the fold has decided on every fate. A refusal
 // is final too: the claim never reached the log, or the instance was evicted.
 func (r *Router) proposeFates(batch []*settlement) error {
--- a/caller/feed.go
+++ b/caller/feed.go
@@ -105,7 +105,7 @@
 	case r.joined.IsZero():
 		r.joined = time.Now()
 	}
-	r.ready = member && time.Since(r.joined) >= delay
+	r.ready = member && !r.drained && time.Since(r.joined) >= delay
 	if !r.ready {
 		return nil
 	}
--- a/caller/router.go
+++ b/caller/router.go
@@ -24,8 +24,8 @@
 // use; it is safe for concurrent use.
 type Router struct {
 	Table       *route.Table
-	Budget      *route.Budget // default: the zero Budget
-	Writer      string        // this incarnation's identity in the log
+	Budget      route.Budget
+	Writer      string // this incarnation's identity in the log
 	View        func(func(*state.State))
 	Propose     func(ctx context.Context, recs ...record.Record) ([]state.Outcome, error)
 	Changed     func() <-chan struct{}
@@ -41,11 +41,14 @@
 
 	mu       sync.Mutex
 	queues   map[string]*route.Queue
+	blocked  map[string]route.Reason // why no server was last free, by service
 	ticking  bool
 	draining bool
 	inflight int
 	settling int
 	quiet    chan struct{} // closed when a drain has nothing left
+	drained  bool          // the shares are given up
+	closed   bool          // fates that cannot be recorded are given up
 	active   map[string]bool
 	settles  []*settlement
 	settler  bool
@@ -93,7 +96,7 @@
 // run sends the request until it is answered, cannot be retried, or its
 // deadline passes.
 func (r *Router) run(ctx context.Context, q *Request) Answer {
-	r.budget().Request(now())
+	r.Budget.Request(now())
 	var exclude []string
 	maybe := false // an attempt may have run
 	end := func(reason route.Reason, detail string, after int64) Answer {
@@ -105,7 +108,7 @@
 	for attempt := 1; ; attempt++ {
 		s, err := r.acquire(ctx, q, exclude)
 		if err != nil {
-			return end(err.Reason, "", err.RetryAfter)
+			return end(err.Reason, string(err.Cause), err.RetryAfter)
 		}
 		a, fail := r.send(ctx, q, s)
 		if fail == nil {
@@ -115,7 +118,7 @@
 		switch {
 		case maybe && !q.Repeatable, ctx.Err() != nil, attempt == maxAttempts:
 			return end(fail.Reason, failDetail(fail), 200)
-		case !r.budget().Retry(now()):
+		case !r.Budget.Retry(now()):
 			r.count("refused", route.ReasonBudget)
 			return end(route.ReasonBudget, string(fail.Reason), 1000)
 		}
@@ -164,6 +167,9 @@
 	if err != nil {
 		fail := failure(err)
 		res = result(fail)
+		if fail.Reason == route.ReasonTimeout && time.Since(begin) < patience {
+			res.Verdict = route.Late
+		}
 		return nil, fail
 	}
 	res = told(a.Notice)
@@ -239,15 +245,6 @@
 	}
 }
 
-func (r *Router) budget() *route.Budget {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.Budget == nil {
-		r.Budget = &route.Budget{}
-	}
-	return r.Budget
-}
-
 func (r *Router) enter() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -285,7 +282,7 @@
 
 // Drain takes nothing new and returns when all accepted requests have their
 // answer and all fates are in the log. It fails with *DrainError when ctx ends
-// first.
+// first. The leave record is to be appended after it.
 func (r *Router) Drain(ctx context.Context) error {
 	r.mu.Lock()
 	r.draining = true
@@ -295,12 +292,26 @@
 	quiet := r.quiet
 	r.checkQuiet()
 	r.mu.Unlock()
+	var err error
 	select {
 	case <-quiet:
-		return nil
 	case <-ctx.Done():
 		r.mu.Lock()
-		defer r.mu.Unlock()
-		return &DrainError{r.inflight, r.settling}
+		err = &DrainError{r.inflight, r.settling}
+		r.mu.Unlock()
+	}
+	r.giveUpShares()
+	return err
+}
+
+// giveUpShares closes the idle connections to backend servers, so that they
+// are free when the other instances fold the leave and grow their shares.
+func (r *Router) giveUpShares() {
+	r.mu.Lock()
+	r.drained, r.closed = true, true
+	r.mu.Unlock()
+	r.Table.SetMembers(r.Writer, nil)
+	if r.Trim != nil {
+		r.Trim()
 	}
 }
--- a/caller/wait.go
+++ b/caller/wait.go
@@ -136,14 +136,18 @@
 	defer r.mu.Unlock()
 	waiting := false
 	for service, q := range r.queues {
-		expire(q.Expire(now()))
+		expire(q.Expire(now()), r.blocked[service])
 		for q.Len() > 0 {
 			s, err := r.Table.Pick(service, now(), nil)
 			if err != nil {
+				if r.blocked == nil {
+					r.blocked = map[string]route.Reason{}
+				}
+				r.blocked[service] = refused(err).Reason
 				break
 			}
 			it, expired := q.Pop(now())
-			expire(expired)
+			expire(expired, r.blocked[service])
 			if it == nil {
 				r.Table.Done(s, now(), route.Result{Verdict: route.Dropped})
 				break
@@ -155,9 +159,9 @@
 	return waiting
 }
 
-func expire(items []*route.Item) {
+func expire(items []*route.Item, cause route.Reason) {
 	for _, it := range items {
-		it.Value.(*waiter).grant <- grant{err: &route.RefusedError{Reason: route.ReasonDeadline}}
+		it.Value.(*waiter).grant <- grant{err: &route.RefusedError{Reason: route.ReasonDeadline, Cause: cause}}
 	}
 }
 
--- a/route/breaker.go
+++ b/route/breaker.go
@@ -4,7 +4,7 @@
 // is sent; when the delay has passed one trial request at a time is.
 type breaker struct {
 	failures int   // consecutive failures
-	faults   int   // consecutive answers with status 5xx
+	faults   int   // consecutive answers with status 5xx or too late for their callers
 	opens    int   // consecutive openings
 	until    int64 // 0 when closed
 	trial    bool  // a trial request is in flight
@@ -13,7 +13,7 @@
 // Limits of a breaker.
 const (
 	breakerFailures = 3      // transport failures in a row that open it
-	breakerFaults   = 10     // 5xx answers in a row; more, because bad requests cause them too
+	breakerFaults   = 10     // faults in a row; more, because callers cause them too
 	breakerDelay    = 500    // first delay, milliseconds
 	breakerMaxDelay = 30_000 // a server that stays away costs one trial in this time
 )
@@ -50,7 +50,6 @@
 
 func (b *breaker) fault(now int64, random func() float64) {
 	b.faults++
-	b.failures = 0
 	if b.until == 0 && b.faults >= breakerFaults || b.trial {
 		b.trip(now, random)
 	}
--- a/route/queue.go
+++ b/route/queue.go
@@ -62,12 +62,12 @@
 func (q *Queue) Admit(now int64, account string, c Class) error {
 	limit, total := orDefault(q.Limit, 256), orDefault(q.Total, 4096)
 	if q.accounts[account] >= limit || q.size >= total {
-		return &RefusedError{ReasonQueue, 10 * q.interval()}
+		return &RefusedError{Reason: ReasonQueue, RetryAfter: 10 * q.interval()}
 	}
 	delay := q.delay(now, c)
 	q.observe(now, c, delay)
 	if q.shedding[c].on && delay > q.target() {
-		return &RefusedError{ReasonShed, max(q.interval(), 2*delay)}
+		return &RefusedError{Reason: ReasonShed, RetryAfter: max(q.interval(), 2*delay)}
 	}
 	return nil
 }
--- a/route/reason.go
+++ b/route/reason.go
@@ -39,6 +39,7 @@
 type RefusedError struct {
 	Reason     Reason
 	RetryAfter int64
+	Cause      Reason // what the request waited for when its deadline passed, or empty
 }
 
 // Error describes the refusal.
--- a/route/table.go
+++ b/route/table.go
@@ -25,6 +25,7 @@
 	servers  map[string]*Server // by address
 	self     string
 	members  []string
+	open     []*Server // memory of Pick, reused
 }
 
 type service struct {
@@ -63,7 +64,8 @@
 	Answered Verdict = iota // a complete answer
 	Refused                 // the server refused: busy or leaving
 	Failed                  // no connection, no answer in time, or a damaged one
-	Dropped                 // given up for reasons of the caller; says nothing about the server
+	Late                    // the caller's deadline passed before the server's patience did
+	Dropped                 // given up for reasons of the caller, or never sent; says nothing about the server
 )
 
 // Result is what became of one request to a server.
@@ -200,9 +202,9 @@
 	defer t.mu.Unlock()
 	v := t.services[name]
 	if v == nil || len(v.servers) == 0 {
-		return nil, &RefusedError{ReasonService, 0}
+		return nil, &RefusedError{Reason: ReasonService}
 	}
-	var open []*Server
+	open := t.open[:0]
 	full := false
 	for _, s := range v.servers {
 		if slices.Contains(exclude, s.Addr) || t.leaving(s, now) {
@@ -223,11 +225,12 @@
 		}
 		open = append(open, s)
 	}
+	t.open = open
 	if len(open) == 0 {
 		if full {
-			return nil, &RefusedError{ReasonBusy, 100}
+			return nil, &RefusedError{Reason: ReasonBusy, RetryAfter: 100}
 		}
-		return nil, &RefusedError{ReasonServer, 1000}
+		return nil, &RefusedError{Reason: ReasonServer, RetryAfter: 1000}
 	}
 	s := open[t.intn(len(open))]
 	if len(open) > 1 {
@@ -270,6 +273,9 @@
 		}
 	case Failed:
 		s.breaker.failure(now, t.random)
+	case Late:
+		// One short deadline is no fault of the server, many in a row are.
+		s.breaker.fault(now, t.random)
 	case Dropped:
 		s.breaker.trial = false
 	}
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,229 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jasminelane.example/lane/state"
+)
+
+// newTable returns a table of n servers with 8 slots and 60 connections for a
+// single instance.
+func newTable(n int) *Table {
+	t := &Table{}
+	t.Update("badges", config(n, 60))
+	t.SetMembers("i0", []string{"i0"})
+	return t
+}
+
+func config(n, connections int) *state.ServiceBody {
+	var b state.ServiceBody
+	for i := range n {
+		b.Servers = append(b.Servers, state.ServerBody{
+			Name: fmt.Sprintf("s%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Slots: 8, Connections: connections,
+		})
+	}
+	return &b
+}
+
+func reason(err error) Reason {
+	var e *RefusedError
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
+// The shares of all members must never sum to more than a server's
+// connections, also when there are more members than connections.
+func TestSharesWithinCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.IntRange(1, 70).Draw(t, "connections")
+		members := make([]string, rapid.IntRange(1, 100).Draw(t, "members"))
+		for i := range members {
+			members[i] = fmt.Sprintf("i%d", i)
+		}
+		sum := 0
+		for _, self := range members {
+			table := &Table{}
+			table.Update("badges", config(1, connections))
+			table.SetMembers(self, members)
+			sum += table.Connections("10.0.0.0:80")
+		}
+		if sum > connections || sum < connections/2 {
+			t.Fatalf("%d members have %d of %d connections", len(members), sum, connections)
+		}
+	})
+}
+
+// An instance that is not a member must not open connections: the others have
+// shared out all of them.
+func TestNoShareWithoutJoin(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	table.SetMembers("i9", []string{"i0"})
+	is.Equal(table.Connections("10.0.0.0:80"), 0)
+	_, err := table.Pick("badges", 1, nil)
+	is.Equal(reason(err), ReasonBusy)
+	_, err = table.Pick("other", 1, nil)
+	is.Equal(reason(err), ReasonService)
+}
+
+// In flight must stay within the slots, and go beyond the own share only by
+// what the server reports as unused by others.
+func TestSlotShare(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	table.SetMembers("i0", []string{"i0", "i1", "i2", "i3"})
+	pick := func(now int64) (n int, last *Server) {
+		for {
+			s, err := table.Pick("badges", now, nil)
+			if err != nil {
+				return n, last
+			}
+			n, last = n+1, s
+		}
+	}
+	n, s := pick(1)
+	is.Equal(n, 2)                                                 // 8 slots, 4 members, nothing reported
+	table.Done(s, 2, Result{Loaded: true, Busy: 5})                // 2 own, 3 of others
+	n, s = pick(3)                                                 // 8 - 3 = 5 may be in flight, 1 is
+	is.Equal(n, 4)                                                 //
+	table.Done(s, 4, Result{Loaded: true, Busy: 13})               // the others took 8
+	n, _ = pick(5)                                                 //
+	is.Equal(n, 0)                                                 //
+	table.Done(s, 6, Result{Verdict: Dropped})                     // 3 in flight
+	table.Done(s, 7, Result{Verdict: Dropped})                     // 2 in flight
+	n, _ = pick(8)                                                 //
+	is.Equal(n, 0)                                                 // own share is 2
+	table.Done(s, 9, Result{Loaded: true, Busy: 2, Leaving: true}) //
+	_, err := table.Pick("badges", 10, nil)                        //
+	is.Equal(reason(err), ReasonServer)                            // leaving
+}
+
+// A server that is slower for the same load must get less; with equal servers
+// no one may be left out.
+func TestPowerOfTwoChoices(t *testing.T) {
+	is := is.New(t)
+	table := newTable(10)
+	counts := map[string]int{}
+	for now := range int64(40) {
+		s, err := table.Pick("badges", now, nil)
+		is.NoErr(err)
+		counts[s.Name]++
+	}
+	for name, n := range counts {
+		is.True(n <= 7) // 4 on average; a random choice alone reaches 9 and more
+		is.True(name != "")
+	}
+	is.True(len(counts) >= 9)
+}
+
+// A server that fails is left alone, tested by one request at a time after a
+// delay, and used again after it answered.
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	table.Random = func() float64 { return 0.5 }
+	for now := range int64(3) {
+		s, err := table.Pick("badges", now, nil)
+		is.NoErr(err)
+		table.Done(s, now, Result{Verdict: Failed})
+	}
+	_, err := table.Pick("badges", 10, nil)
+	is.Equal(reason(err), ReasonServer)
+	s, err := table.Pick("badges", 600, nil)
+	is.NoErr(err)
+	is.True(!table.Fresh(s, 600)) // to be probed
+	_, err = table.Pick("badges", 600, nil)
+	is.Equal(reason(err), ReasonServer) // one trial at a time
+	table.Done(s, 650, Result{Verdict: Failed})
+	_, err = table.Pick("badges", 1200, nil)
+	is.Equal(reason(err), ReasonServer) // the delay doubled
+	s, err = table.Pick("badges", 1700, nil)
+	is.NoErr(err)
+	table.Done(s, 1710, Result{Verdict: Answered})
+	for range 8 {
+		s, err = table.Pick("badges", 1720, nil)
+		is.NoErr(err)
+		is.True(table.Fresh(s, 1720))
+	}
+}
+
+// A server that takes requests and says nothing must not get more; a slow one
+// that answers must.
+func TestStall(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	s, err := table.Pick("badges", 1, nil)
+	is.NoErr(err)
+	_, err = table.Pick("badges", 400, nil)
+	is.NoErr(err)
+	_, err = table.Pick("badges", 600, nil)
+	is.Equal(reason(err), ReasonServer)
+	table.Done(s, 2000, Result{Verdict: Answered, Took: 2000})
+	is.Equal(table.Patience(s), int64(10_000)) // 8 times the service time, bounded
+	_, err = table.Pick("badges", 3900, nil)
+	is.NoErr(err)
+}
+
+// Each of the three sources of the leaving mark must stop new work at once.
+func TestLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		mark func(*Table)
+	}{
+		{"configuration", func(table *Table) {
+			b := config(1, 60)
+			b.Servers[0].Leaving = true
+			table.Update("badges", b)
+		}},
+		{"list", func(table *Table) { table.SetListed([]string{"10.0.0.0:80"}) }},
+		{"header", func(table *Table) {
+			s, _ := table.Pick("badges", 1, nil)
+			table.Done(s, 2, Result{Leaving: true})
+		}},
+	} {
+		table := newTable(1)
+		c.mark(table)
+		if _, err := table.Pick("badges", 3, nil); reason(err) != ReasonServer {
+			t.Errorf("%s: picked a leaving server: %v", c.name, err)
+		}
+	}
+}
+
+// Counts must survive a change of configuration in flight, or the connection
+// cap would be exceeded.
+func TestUpdateKeepsInflight(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	for range 8 {
+		_, err := table.Pick("badges", 1, nil)
+		is.NoErr(err)
+	}
+	table.Update("badges", config(1, 30))
+	table.Update("names", config(1, 12))
+	_, err := table.Pick("names", 2, nil)
+	is.Equal(reason(err), ReasonBusy) // the same server
+	is.Equal(table.Connections("10.0.0.0:80"), 12)
+	is.Equal(table.Status("badges", 2)[0].Inflight, 8)
+	table.Update("badges", nil)
+	table.Update("names", nil)
+	is.Equal(table.Connections("10.0.0.0:80"), 0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	table := newTable(50)
+	b.ReportAllocs()
+	for i := range int64(b.N) {
+		s, err := table.Pick("badges", i, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Done(s, i, Result{Verdict: Answered})
+	}
+}
