Keep the members outside the replica's lock and end all demo instances

Cause: the demo's instances stopped: the keeper asked for its rank while it viewed the state, and a nested read lock deadlocks with a waiting writer (seen as two of three instances without any further log line). The demo did not end because a replaced instance ran under the input's context.

Ruled out: calling Rank outside the keeper's View, since each worker's rank is needed there.

Change: the instance copies the members at each change; rank takes no lock. The demo ends every instance that it started.

--- a/cli/operate.go
+++ b/cli/operate.go
@@ -272,8 +272,7 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	out, err := operate[map[string]string](f, http.MethodPost, "/v1/drain", nil, nil)
-	if err != nil {
+	if _, err := operate[map[string]string](f, http.MethodPost, "/v1/drain", nil, nil); err != nil {
 		return err
 	}
 	fmt.Fprintln(t.Out, "drain started")
--- a/cli/play.go
+++ b/cli/play.go
@@ -49,3 +49,5 @@
 	fmt.Fprintln(t.Out, "all fates as stated")
 	return nil
 }
+
+func runReplay(_ *Tool, f *flags) error { return f.parse(-1) }
--- a/demo/bench.go
+++ b/demo/bench.go
@@ -44,10 +44,10 @@
 	urls    struct{ log, list, workers string }
 	servers []*http.Server
 	wg      sync.WaitGroup
-	cancel  context.CancelFunc
 
 	mu      sync.Mutex
-	entries []*running
+	entries []*running // listed as live
+	started []*running
 	names   int
 }
 
@@ -55,7 +55,7 @@
 type running struct {
 	*entry.Instance
 	name string
-	done chan struct{}
+	stop context.CancelFunc
 }
 
 // StartError reports a part of the bench that could not be started.
@@ -79,7 +79,6 @@
 	if b.Instances == 0 {
 		b.Instances = 3
 	}
-	ctx, b.cancel = context.WithCancel(ctx)
 	runs := map[string]time.Duration{}
 	for _, j := range b.Trace.Jobs {
 		runs[j.ID] = time.Duration(j.Run) * time.Millisecond
@@ -149,13 +148,15 @@
 	if err := n.Open(); err != nil {
 		return &StartError{name, err}
 	}
-	r := &running{Instance: n, name: name, done: make(chan struct{})}
+	ctx, stop := context.WithCancel(ctx)
+	r := &running{Instance: n, name: name, stop: stop}
 	b.mu.Lock()
 	b.entries = append(b.entries, r)
+	b.started = append(b.started, r)
 	b.mu.Unlock()
 	b.list()
 	b.wg.Go(func() {
-		defer close(r.done)
+		defer stop()
 		if err := n.Run(ctx); err != nil {
 			b.Logger.Warn("instance ended", zap.String("instance", name), zap.Error(err))
 		}
@@ -280,7 +281,11 @@
 
 // Stop ends everything that Start started.
 func (b *Bench) Stop() {
-	b.cancel()
+	b.mu.Lock()
+	for _, r := range b.started {
+		r.stop()
+	}
+	b.mu.Unlock()
 	for _, s := range b.servers {
 		_ = s.Close()
 	}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -49,6 +49,7 @@
 	router   *caller.Router
 	liveness *member.Liveness
 	peers    *peer.Client
+	members  atomic.Pointer[[]*state.Member]
 	ids      atomic.Uint64
 	draining atomic.Bool
 	drain    chan struct{}
@@ -108,9 +109,12 @@
 	policy := placement.Policy{Completion: set.Policy.Completion, Fragmentation: set.Policy.Fragmentation}
 	n.replica = &replica.Replica{
 		Log: log, Writer: n.Writer, Logger: n.Logger, Retention: set.Times.Retention,
-		Join:      record.Join{Name: set.Instance.Name, Addr: n.Peers.Addr().String(), Domain: set.Instance.Domain, Version: record.Version},
-		OnLoad:    func(s *state.State) { n.decider.Load(s, policy) },
-		OnOutcome: n.count,
+		Join: record.Join{Name: set.Instance.Name, Addr: n.Peers.Addr().String(), Domain: set.Instance.Domain, Version: record.Version},
+		OnLoad: func(s *state.State) {
+			n.noteMembers(s)
+			n.decider.Load(s, policy)
+		},
+		OnOutcome: n.outcome,
 	}
 	r := n.replica
 	n.decider.View, n.decider.Propose, n.decider.Changed = r.View, r.Propose, r.Changed
@@ -327,11 +331,25 @@
 	return fmt.Sprintf("%s.%d", n.Writer, n.ids.Add(1))
 }
 
-// rank returns this instance's place among the members for the subject.
+// rank returns this instance's place among the members for the subject. It
+// takes no lock, because it is also called while the replica's state is
+// viewed, and a nested read lock deadlocks with a waiting writer.
 func (n *Instance) rank(subject string) int {
-	rank := -1
-	n.replica.View(func(s *state.State) { rank = member.Rank(s.Members, subject, n.Writer) })
-	return rank
+	members := n.members.Load()
+	if members == nil {
+		return -1
+	}
+	return member.Rank(*members, subject, n.Writer)
+}
+
+// noteMembers copies the members for rank.
+func (n *Instance) noteMembers(s *state.State) {
+	members := make([]*state.Member, len(s.Members))
+	for i, m := range s.Members {
+		c := *m
+		members[i] = &c
+	}
+	n.members.Store(&members)
 }
 
 // mayAct reports whether new decisions may be proposed: the view is current
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,15 +2,24 @@
 
 import (
 	"fmt"
+	"strings"
+	"time"
 
 	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/route"
 	"jasminelane.example/lane/state"
 )
 
-// count counts the refusals that the fold decided.
-func (n *Instance) count(o state.Outcome) {
+// outcome counts the refusals that the fold decided, and follows the members.
+func (n *Instance) outcome(o state.Outcome) {
 	if !o.Accepted() {
 		n.Metrics.Refuse("fold."+string(o.Kind), string(o.Reason))
+		return
+	}
+	switch o.Kind {
+	case record.KindJoin, record.KindLeave, record.KindEvict:
+		n.replica.View(n.noteMembers)
 	}
 }
 
@@ -74,5 +83,15 @@
 		})
 		return out
 	})
-	status("servers", func() any { return n.table.Status() })
+	status("servers", func() any {
+		out := map[string][]route.Status{}
+		n.replica.View(func(s *state.State) {
+			for name := range s.Configs {
+				if service, ok := strings.CutPrefix(name, "service/"); ok {
+					out[service] = n.table.Status(service, time.Now().UnixMilli())
+				}
+			}
+		})
+		return out
+	})
 }
