--- a/replica/append.go
+++ b/replica/append.go
@@ -76,6 +76,10 @@
 		r.deliver(ctx, p, &delay)
 		select {
 		case res := <-it.done:
+			if res.err == nil && !res.admitted {
+				<-ctx.Done() // the tail ends this incarnation with the reason
+				return nil
+			}
 			if res.err == nil && !res.out[0].Accepted() {
 				return &JoinError{res.out[0]}
 			}
@@ -161,6 +165,7 @@
 	r.counts.appends.Add(1)
 	offset, err := r.Log.Append(actx, p.data)
 	r.queue.setLog(err)
+	defer r.progress.fire()
 	if err == nil {
 		return offset, nil
 	}
@@ -272,7 +277,7 @@
 	}
 	reason := out[0].Reason
 	for _, it := range p.items {
-		it.done <- result{out: out[:len(it.recs):len(it.recs)]}
+		it.done <- result{out: out[:len(it.recs):len(it.recs)], admitted: admitted}
 		out = out[len(it.recs):]
 	}
 	q.pending = nil
--- /dev/null
+++ b/replica/fault_test.go
@@ -0,0 +1,404 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/state"
+)
+
+// copies returns how many entries of the log hold a record with the id, and
+// how many of them have distinct sequence numbers.
+func (f *fleet) copies(id string) (entries, batches int) {
+	seqs := map[string]bool{}
+	_, log := f.log.Entries()
+	for _, data := range log {
+		b, err := record.Decode(data)
+		if err != nil {
+			continue
+		}
+		for _, rec := range b.Records {
+			if rec.ID == id {
+				entries++
+				seqs[fmt.Sprint(b.Writer, b.Seq)] = true
+			}
+		}
+	}
+	return entries, len(seqs)
+}
+
+// TestAnswerLost guards against an append that is reported as failed, or done
+// twice, because its answer was lost before or after it took effect, or
+// because the platform carried it out twice or late.
+func TestAnswerLost(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  standin.LogFault
+		copies int
+	}{
+		{"after the effect", standin.LogFault{Lose: ptr(1)}, 1},
+		{"before the effect", standin.LogFault{Drop: ptr(1)}, 1},
+		{"before the effect, three times", standin.LogFault{Drop: ptr(3)}, 1},
+		{"twice in the log", standin.LogFault{Twice: ptr(1)}, 2},
+		{"twice in the log, answer lost", standin.LogFault{Twice: ptr(1), Lose: ptr(1)}, 2},
+		{"late copy", standin.LogFault{Drop: ptr(1), Late: ptr(int64(150))}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			a, b := f.start("a", nil).ready(), f.start("b", nil).ready()
+			f.log.Fault(tt.fault)
+			o, err := a.publish("x", 0)
+			is.NoErr(err)
+			is.True(o.Accepted())
+			// All copies arrive, late ones too, before the next proposals.
+			b.await("copies", func(Status) bool { n, _ := f.copies("x"); return n >= tt.copies })
+			o, err = a.publish("y", 0)
+			is.NoErr(err)
+			is.True(o.Accepted()) // the sequence goes on
+			entries, batches := f.copies("x")
+			is.Equal(entries, tt.copies)
+			is.Equal(batches, 1) // always the same sequence number
+			offset := a.Status().Offset
+			b.await("same offset", func(s Status) bool { return s.Offset >= offset })
+			is.Equal(a.Status().Chain, b.Status().Chain)
+			is.Equal(b.version("x"), a.version("x"))
+		})
+	}
+}
+
+// TestLogDown guards against proposals whose fate is reported wrongly when the
+// log is down at one of the steps, and against a replica that does not go on
+// when the log returns.
+func TestLogDown(t *testing.T) {
+	tests := []struct {
+		name    string
+		down    standin.LogFault
+		up      standin.LogFault
+		unknown bool // whether the proposal may have taken effect
+		effect  bool // whether it did
+	}{
+		{"all requests", standin.LogFault{Down: ptr(true)}, standin.LogFault{Down: ptr(false)}, false, false},
+		{"appends only", standin.LogFault{NoAppends: ptr(true)}, standin.LogFault{NoAppends: ptr(false)}, false, false},
+		{"reads only", standin.LogFault{NoReads: ptr(true)}, standin.LogFault{NoReads: ptr(false)}, true, true},
+		{"reads, answer lost", standin.LogFault{NoReads: ptr(true), Lose: ptr(1)}, standin.LogFault{NoReads: ptr(false)}, true, true},
+		{"reads, append dropped", standin.LogFault{NoReads: ptr(true), Drop: ptr(1)}, standin.LogFault{NoReads: ptr(false)}, true, true},
+		{"frozen", standin.LogFault{Freeze: ptr(true)}, standin.LogFault{Freeze: ptr(false)}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			a := f.start("a", nil).ready()
+			f.log.Fault(tt.down)
+			if tt.down.NoAppends == nil {
+				a.await("log down", func(s Status) bool { return s.LogDown && s.Fresh && s.Ready })
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_, err := a.Propose(ctx, policy(t, "x", 0))
+			var no *NotAppendedError
+			var unknown *UnknownError
+			is.Equal(errors.As(err, &unknown), tt.unknown)
+			is.Equal(errors.As(err, &no), !tt.unknown)
+			f.log.Fault(tt.up)
+			o, err := a.publish("y", 0)
+			is.NoErr(err)
+			is.True(o.Accepted())
+			is.Equal(a.version("x") > 0, tt.effect)
+			a.await("log up", func(s Status) bool { return !s.LogDown && s.Fresh })
+			_, batches := f.copies("x")
+			is.True(batches <= 1)
+		})
+	}
+}
+
+// TestStartDuringOutage guards against an instance that gives up, or becomes
+// ready without a state, when the log is down before its join.
+func TestStartDuringOutage(t *testing.T) {
+	tests := []struct {
+		name     string
+		down, up standin.LogFault
+	}{
+		{"before the load", standin.LogFault{Down: ptr(true)}, standin.LogFault{Down: ptr(false)}},
+		{"before the join", standin.LogFault{NoAppends: ptr(true)}, standin.LogFault{NoAppends: ptr(false)}},
+		{"answer to the join lost", standin.LogFault{Lose: ptr(1), Slow: ptr(int64(10))}, standin.LogFault{Slow: ptr(int64(0))}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.log.Fault(tt.down)
+			a := f.start("a", nil)
+			if tt.down.Lose == nil {
+				a.await("failures", func(s Status) bool { return s.Counts.ReadErrors+s.Counts.Refused >= 3 })
+				is.True(!a.Status().Ready)
+			}
+			f.log.Fault(tt.up)
+			a.ready()
+			_, batches := f.copies("join/a")
+			is.Equal(batches, 1)
+		})
+	}
+}
+
+// TestReturn guards against a fleet that appends at once when the log returns.
+func TestReturn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	delay := 40 * time.Minute // never over within the test, whatever is drawn
+	a := f.start("a", func(r *Replica) { r.ReturnDelay = delay }).ready()
+	f.log.Fault(standin.LogFault{Down: ptr(true)})
+	a.await("log down", func(s Status) bool { return s.LogDown })
+	f.log.Fault(standin.LogFault{Down: ptr(false)})
+	a.await("log up", func(s Status) bool { return !s.LogDown })
+	appends := a.Status().Counts.Appends
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := a.Propose(ctx, policy(t, "x", 0))
+	is.True(err != nil)
+	is.Equal(a.Status().Counts.Appends, appends)
+	a.mu.RLock()
+	resume := a.view.resume
+	a.mu.RUnlock()
+	is.True(resume.After(time.Now()) && resume.Before(time.Now().Add(delay)))
+}
+
+// TestEvicted guards against an evicted writer that goes on, and against its
+// proposals taking effect or being reported as unknown.
+func TestEvicted(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	gate := &gate{}
+	a := f.start("a", func(r *Replica) { r.Log.Client = &http.Client{Transport: gate} }).ready()
+	b := f.start("b", nil).ready()
+	gate.hold() // the instance is paused: none of its requests goes on
+	evict, err := record.New(record.KindEvict, "", record.Evict{Writer: "a"})
+	is.NoErr(err)
+	out, err := b.Propose(context.Background(), evict)
+	is.NoErr(err)
+	is.True(out[0].Accepted())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := a.Propose(context.Background(), policy(t, "x", 0))
+		failed <- err
+	}()
+	gate.release()
+
+	var fenced *FencedError
+	is.True(errors.As(a.end(), &fenced))
+	is.Equal(fenced.Reason, state.ReasonFenced)
+	var no *NotAppendedError
+	err = <-failed
+	is.True(err == nil || errors.As(err, &no)) // refused by the fold, or not tried
+	is.True(!a.Status().Ready && !a.Status().Fresh)
+	_, err = b.publish("y", 0)
+	is.NoErr(err)
+	is.Equal(b.version("x"), uint64(0))
+	// The next incarnation of the instance joins.
+	f.start("a2", func(r *Replica) { r.Join.Name = "a" }).ready()
+}
+
+// TestIdentityReused guards against two processes that append under one
+// identity, whose batches would hide each other.
+func TestIdentityReused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start("a", nil).ready()
+	var fenced *FencedError
+	is.True(errors.As(f.start("a", nil).end(), &fenced))
+	is.Equal(fenced.Reason, state.ReasonExists)
+}
+
+// TestStaleBatch guards against an instance with a wrong clock that goes on
+// although the log refuses all that it appends.
+func TestStaleBatch(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start("a", nil).ready()
+	b := f.start("b", func(r *Replica) {
+		r.Clock = func() time.Time { return time.Now().Add(-time.Hour) }
+	})
+	var fenced *FencedError
+	is.True(errors.As(b.end(), &fenced))
+	is.Equal(fenced.Reason, state.ReasonStale)
+}
+
+// TestPaused guards against a paused instance that takes its own timeouts for
+// an outage, and its old state for the newest.
+func TestPaused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	clock := &clock{}
+	reads := &script{}
+	a := f.start("a", func(r *Replica) {
+		r.Clock = clock.now
+		r.Log.Client = &http.Client{Transport: reads}
+		r.SnapshotRecords = -1
+	}).ready()
+	is.True(a.Status().Fresh)
+	// One read ends in an error after a pause of a minute, the next fails at
+	// once, and the third hangs.
+	errBroken := &platform.StatusError{Status: 1}
+	reads.set(
+		func(*http.Request) error { clock.advance(time.Minute); return errBroken },
+		func(*http.Request) error { return errBroken },
+		func(q *http.Request) error { <-q.Context().Done(); return errBroken },
+	)
+	a.await("two failed reads", func(s Status) bool { return s.Counts.ReadErrors >= 2 })
+	s := a.Status()
+	is.True(!s.LogDown)
+	is.True(!s.Fresh)
+	a.await("recovery", func(s Status) bool { return s.Fresh && !s.LogDown })
+
+	// The log is down, and the instance is paused meanwhile.
+	f.log.Fault(standin.LogFault{Down: ptr(true)})
+	a.await("log down", func(s Status) bool { return s.LogDown && s.Fresh })
+	reads.set(func(q *http.Request) error { <-q.Context().Done(); return errBroken })
+	reads.awaitEmpty(t)
+	clock.advance(time.Minute)
+	s = a.Status()
+	is.True(!s.LogDown)
+	is.True(!s.Fresh)
+}
+
+// TestSlowLog guards against a view that flaps between fresh and not because
+// long polls on a slow log outlast the time for which it is fresh.
+func TestSlowLog(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a := f.start("a", func(r *Replica) {
+		r.Wait, r.FreshFor, r.ReadTimeout = 400*time.Millisecond, 700*time.Millisecond, 2*time.Second
+	}).ready()
+	f.log.Fault(standin.LogFault{Slow: ptr(int64(200))})
+	// The first long polls still have the old length.
+	end := a.Status().Counts.ReadErrors
+	for range 4 {
+		readEnd := a.readEnd()
+		a.await("next read", func(Status) bool { return a.readEnd() != readEnd })
+	}
+	for range 8 {
+		is.True(a.Status().Fresh)
+		readEnd := a.readEnd()
+		a.await("next read", func(s Status) bool { is.True(s.Fresh); return a.readEnd() != readEnd })
+	}
+	is.Equal(a.Status().Counts.ReadErrors, end)
+}
+
+func (r *Replica) readEnd() time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.view.readEnd
+}
+
+// TestUpgrade guards against an old program that folds past a batch it cannot
+// understand, and whose state then differs from the others'.
+func TestUpgrade(t *testing.T) {
+	newer, err := record.Marshal(map[string]any{"writer": 7, "reader": record.Version + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := record.Encode(&record.Batch{Writer: "z", Seq: 1, Reader: record.Version + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string][]byte{"known encoding": known, "other encoding": newer} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			a := f.start("a", nil).ready()
+			offset := f.log.Append(data)
+			a.await("upgrade", func(s Status) bool { return s.Upgrade })
+			s := a.Status()
+			is.Equal(s.Offset, offset)
+			is.True(!s.Ready && !s.Fresh)
+			_, err := a.publish("x", 0)
+			var no *NotAppendedError
+			is.True(errors.As(err, &no))
+		})
+	}
+}
+
+// TestCorruptEntry guards against a replica that stops at an entry that is no
+// batch.
+func TestCorruptEntry(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a := f.start("a", nil).ready()
+	f.log.Append([]byte("not a batch"))
+	o, err := a.publish("x", 0)
+	is.NoErr(err)
+	is.True(o.Accepted())
+	is.Equal(a.Status().Counts.Skipped, uint64(1))
+}
+
+// TestPriority guards against urgent records that wait behind bulk ones while
+// the log is slow, and against snapshot chunks that go before anything.
+func TestPriority(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a := f.start("a", nil).ready()
+	f.log.Fault(standin.LogFault{NoAppends: ptr(true)})
+	var wg sync.WaitGroup
+	for i, kind := range []record.Kind{record.KindChunk, record.KindReport, record.KindClaim, record.KindStart, record.KindCancel} {
+		rec := record.Record{Kind: kind, ID: string(kind), Body: []byte{0xa0}}
+		wg.Go(func() { _, _ = a.Propose(context.Background(), rec) })
+		a.await("queue", func(s Status) bool { return queued(a.Replica) == i+1 })
+	}
+	f.log.Fault(standin.LogFault{NoAppends: ptr(false)})
+	wg.Wait()
+	var order []string
+	_, log := f.log.Entries()
+	for _, data := range log[1:] {
+		b, err := record.Decode(data)
+		is.NoErr(err)
+		for _, rec := range b.Records {
+			order = append(order, rec.ID)
+		}
+	}
+	is.Equal(order, []string{"cancel", "start", "claim", "report", "chunk"})
+}
+
+// queued returns the records that wait or are being appended.
+func queued(r *Replica) int {
+	r.queue.mu.Lock()
+	defer r.queue.mu.Unlock()
+	n := r.queue.records
+	if p := r.queue.pending; p != nil {
+		for _, it := range p.items {
+			n += len(it.recs)
+		}
+	}
+	return n
+}
+
+// TestQueueLimit guards against memory that grows with the length of an
+// outage, and against urgent records that bulk ones lock out.
+func TestQueueLimit(t *testing.T) {
+	is := is.New(t)
+	r := &Replica{MaxQueue: 2}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	bulk := record.Record{Kind: record.KindReport}
+	go func() { _, _ = r.Propose(ctx, bulk, bulk) }()
+	for r.Status().Queue < 2 {
+		<-time.After(time.Millisecond)
+	}
+	_, err := r.Propose(ctx, bulk)
+	var full *QueueError
+	is.True(errors.As(err, &full))
+	_, err = r.Propose(ctx, record.Record{Kind: record.KindCancel})
+	is.True(!errors.As(err, &full))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
--- a/replica/queue.go
+++ b/replica/queue.go
@@ -39,8 +39,9 @@
 }
 
 type result struct {
-	out []state.Outcome
-	err error
+	out      []state.Outcome
+	admitted bool // whether the batch as a whole was
+	err      error
 }
 
 // batch is the one batch that is being appended.
--- a/replica/tail.go
+++ b/replica/tail.go
@@ -97,7 +97,13 @@
 // failed notes a failed read and waits before the next. A read that a paused
 // process saw fail is no evidence of an outage.
 func (t *tailer) failed(ctx context.Context, err error, noEvidence bool) {
-	r := t.r
+	t.r.noteFailure(err, noEvidence)
+	t.wait = 0 // the next answer must come at once, or it is a failure
+	sleep(ctx, t.delay.next(), nil)
+}
+
+// noteFailure counts a failed read.
+func (r *Replica) noteFailure(err error, noEvidence bool) {
 	r.counts.readErrors.Add(1)
 	r.mu.Lock()
 	if noEvidence {
@@ -112,8 +118,6 @@
 		r.Logger.Warn("log down", zap.Error(err))
 	}
 	r.progress.fire()
-	t.wait = 0 // the next answer must come at once, or it is a failure
-	sleep(ctx, t.delay.next(), nil)
 }
 
 func (t *tailer) succeeded(page platform.Page, start time.Time, elapsed time.Duration) {
@@ -168,12 +172,12 @@
 
 	r.counts.entries.Add(1)
 	r.counts.records.Add(uint64(len(out)))
+	t.trackChunks(e.Offset, b, now) // before the writer of a chunk hears that it was folded
 	left := false
 	if b.Writer == r.Writer {
 		left = fenced && after > before
 		err = r.settle(e, b, out, after > before)
 	}
-	t.trackChunks(e.Offset, b, now)
 	r.changed.fire()
 	r.progress.fire()
 	if r.OnOutcome != nil {
@@ -249,7 +253,8 @@
 		if err == nil {
 			return r.install(s)
 		}
-		r.counts.readErrors.Add(1)
+		var down *platform.DownError
+		r.noteFailure(err, !errors.As(err, &down) || ctx.Err() != nil)
 		r.Logger.Warn("load failed", zap.Error(err))
 		sleep(ctx, delay.next(), nil)
 	}
