Make the keeper and the starter whole and test them with faults

Cause: the thin keeper ranked 12,000 workers on each scan, proposed the same records again while a proposal was on its way, and had no quarantine. Ruled out: letting a second instance renew leases only after it notices that the first is gone, because eviction takes 5 s to 30 s and a lease lasts 15 s. Ranks are derived only when members or workers change. The starter reports what evicted jobs kept before it proposes the start. A hold that is released needs no report. Abort names the workers that did not hold (field missed, Worker.Missed).

--- a/record/body.go
+++ b/record/body.go
@@ -87,9 +87,10 @@
 
 // Abort releases a job whose start failed before any member ran.
 type Abort struct {
-	Job   string `cbor:"job" json:"job"`
-	Token uint64 `cbor:"token" json:"token"`
-	Cause string `cbor:"cause" json:"cause"`
+	Job    string   `cbor:"job" json:"job"`
+	Token  uint64   `cbor:"token" json:"token"`
+	Cause  string   `cbor:"cause" json:"cause"`
+	Missed []uint32 `cbor:"missed,omitempty" json:"missed"` // workers that did not hold
 }
 
 // Preempt checkpoints and stops a running job, which then waits again.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -23,8 +23,10 @@
 type Workers struct {
 	Now        func() time.Time                                // default time.Now
 	Duration   func(name string, g worker.Grant) time.Duration // run time; default the declared one
+	Fails      func(name string, g worker.Grant) bool          // whether a task fails at its end; default none does
 	Lag        time.Duration                                   // age of the usage that is reported
 	Checkpoint time.Duration                                   // time to write a checkpoint, default none
+	Notify     func(Event)                                     // called for each new event; must not call back
 
 	mu    sync.Mutex
 	units map[string]*unit
@@ -84,6 +86,7 @@
 	progress float64
 	ends     time.Time // end of the checkpoint; zero when none is written
 	slow     bool
+	fails    bool
 	settled  time.Time // when the result was made
 }
 
@@ -229,6 +232,9 @@
 		lapse := u.lease
 		if t.phase == worker.StatusRunning {
 			end, what := t.began.Add(t.length), worker.StatusDone
+			if t.fails {
+				what = worker.StatusFailed
+			}
 			if u.fault.Fail {
 				end, what = t.began, worker.StatusFailed
 			}
@@ -325,6 +331,7 @@
 			if w.Duration != nil {
 				t.length = w.Duration(u.name, g)
 			}
+			t.fails = w.Fails != nil && w.Fails(u.name, g)
 			w.note(u, t, "run", now)
 		} else {
 			w.arm(u, t, now)
@@ -395,7 +402,12 @@
 	})
 }
 
-func (w *Workers) log(e Event) { w.audit = append(w.audit, e) }
+func (w *Workers) log(e Event) {
+	w.audit = append(w.audit, e)
+	if w.Notify != nil {
+		w.Notify(e)
+	}
+}
 
 // Audit returns what ran when, up to now.
 func (w *Workers) Audit() []Event {
--- a/state/image.go
+++ b/state/image.go
@@ -53,6 +53,7 @@
 	Since     int64            `cbor:"since"`
 	Gone      bool             `cbor:"gone"`
 	Cause     string           `cbor:"cause,omitempty"`
+	Missed    int64            `cbor:"missed,omitempty"`
 	Strikes   uint32           `cbor:"strikes,omitempty"`
 	Done      uint32           `cbor:"done,omitempty"`
 	Failed    uint32           `cbor:"failed,omitempty"`
@@ -123,7 +124,7 @@
 		wi := workerImage{
 			Name: w.Name, Addr: w.Addr, Rack: w.Rack.Index, GPUs: w.GPUs, Cores: w.Cores, Memory: w.Memory,
 			Condition: w.Condition, Revision: w.Revision, Since: w.Since, Gone: w.Gone,
-			Cause: w.Cause, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
+			Cause: w.Cause, Missed: w.Missed, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
 		}
 		for _, t := range w.Tasks {
 			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
@@ -186,12 +187,16 @@
 		return nil, err
 	}
 	for _, j := range im.Jobs {
-		s.Jobs[j.Spec.Job] = &Job{
+		x := &Job{
 			ID: j.Spec.Job, Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
 			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
 			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: j.Cause,
 		}
+		s.Jobs[x.ID] = x
+		if s.starting(x) {
+			s.placedJobs[x] = struct{}{}
+		}
 	}
 	if err := s.loadAccounts(im); err != nil {
 		return nil, err
@@ -218,7 +223,7 @@
 		w := &Worker{
 			Index: uint32(i), Name: wi.Name, Addr: wi.Addr, Rack: s.Racks[wi.Rack], GPUs: wi.GPUs, Cores: wi.Cores,
 			Memory: wi.Memory, Condition: wi.Condition, Revision: wi.Revision, Since: wi.Since, Gone: wi.Gone,
-			Cause: wi.Cause, Strikes: wi.Strikes, Done: wi.Done, Failed: wi.Failed, Failures: wi.Failures,
+			Cause: wi.Cause, Missed: wi.Missed, Strikes: wi.Strikes, Done: wi.Done, Failed: wi.Failed, Failures: wi.Failures,
 		}
 		s.Workers = append(s.Workers, w)
 		s.workerByName[w.Name] = w
--- a/state/job.go
+++ b/state/job.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -159,6 +160,11 @@
 	if reason != "" {
 		return reason, detail
 	}
+	for _, i := range v.Missed {
+		if w := s.worker(i); w != nil {
+			w.Missed = s.Now
+		}
+	}
 	s.stopJob(j, 0, "start failed: "+clip(v.Cause))
 	return "", ""
 }
@@ -179,17 +185,21 @@
 }
 
 // Starting returns the jobs that hold, and those that were started so recently
-// that not all of their members may run yet.
+// that not all of their members may run yet, in no order.
 func (s *State) Starting() iter.Seq[*Job] {
 	return func(yield func(*Job) bool) {
-		for _, j := range s.Jobs {
-			if (j.Phase == JobHolding || j.Phase == JobRunning && s.Now-j.Started < StartWindow) && !yield(j) {
+		for j := range s.placedJobs {
+			if s.starting(j) && !yield(j) {
 				return
 			}
 		}
 	}
 }
 
+func (s *State) starting(j *Job) bool {
+	return j.Phase == JobHolding || j.Phase == JobRunning && s.Now-j.Started < StartWindow
+}
+
 // placed returns the job if it has the token and phase.
 func (s *State) placed(id string, token uint64, phase JobPhase) (*Job, Reason, string) {
 	j := s.Jobs[id]
@@ -244,6 +254,13 @@
 		if t == nil {
 			continue
 		}
+		if t.Phase == TaskHold {
+			// It was never told to run, and the worker gives up a hold for a newer
+			// one, so there is no stop to wait for.
+			s.dropTask(w, t)
+			j.Pending--
+			continue
+		}
 		if t.Phase == TaskDone {
 			s.dropTask(w, t)
 			continue
@@ -302,6 +319,7 @@
 func (s *State) sweep() {
 	s.lastSweep = s.Now
 	s.sweepLost()
+	maps.DeleteFunc(s.placedJobs, func(j *Job, _ struct{}) bool { return !s.starting(j) })
 	for id, w := range s.Writers {
 		if s.Now-w.At > WriterRetention && s.Member(id) == nil {
 			delete(s.Writers, id)
--- a/state/place.go
+++ b/state/place.go
@@ -66,6 +66,7 @@
 	j.Guaranteed = guaranteed
 	j.Pending = len(p.Slots)
 	j.Cause = "placed"
+	s.placedJobs[j] = struct{}{}
 	s.touch(j)
 	a.Used += j.Spec.Shape.Total()
 	for _, sl := range p.Slots {
--- a/state/state.go
+++ b/state/state.go
@@ -43,6 +43,7 @@
 	Touched func(*Worker)
 
 	workerByName map[string]*Worker
+	placedJobs   map[*Job]struct{} // jobs that Starting may return, and some that have gone on
 	lastSweep    int64
 	hash         *xxhash.Digest
 }
@@ -140,6 +141,7 @@
 	Since     int64  // fold's clock at that change
 	Gone      bool   // removed from the configuration
 	Cause     string // of the current Condition
+	Missed    int64  // fold's clock when it last kept a gang from starting
 	Strikes   uint32 // how often it was set aside for failures since its last success
 	Done      uint32 // members done here recently
 	Failed    uint32 // jobs failed here recently
@@ -330,6 +332,7 @@
 	s.Claims = map[string]*Claim{}
 	s.Refused = map[Reason]uint64{}
 	s.workerByName = map[string]*Worker{}
+	s.placedJobs = map[*Job]struct{}{}
 }
 
 // admit decides whether the batch as a whole may take effect, and notes the
--- a/worker/cluster_test.go
+++ b/worker/cluster_test.go
@@ -1,10 +1,13 @@
 package worker_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +29,7 @@
 	s       *state.State
 	seq     uint64
 	changed chan struct{}
+	events  chan struct{} // has room for one; filled by events of the stand-in
 	workers *standin.Workers
 	addr    string
 }
@@ -33,7 +37,13 @@
 // newCluster returns a cluster of n workers with 4 accelerators each, in one
 // rack, and the accounts asha and binu.
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t, s: &state.State{}, changed: make(chan struct{}), workers: &standin.Workers{}}
+	c := &cluster{t: t, s: &state.State{}, changed: make(chan struct{}), events: make(chan struct{}, 1), workers: &standin.Workers{}}
+	c.workers.Notify = func(standin.Event) {
+		select {
+		case c.events <- struct{}{}:
+		default:
+		}
+	}
 	srv := httptest.NewServer(c.workers)
 	t.Cleanup(srv.Close)
 	c.addr = strings.TrimPrefix(srv.URL, "http://")
@@ -141,6 +151,27 @@
 	c.must(record.KindPlace, record.Place{Job: spec.Job, Revision: c.job(spec.Job).Revision, Slots: slots})
 }
 
+// publishBlock guarantees the account one whole worker.
+func (c *cluster) publishBlock(account string, index uint32) {
+	data, err := json.Marshal(state.AccountBody{Guarantees: []state.GuaranteeBody{{Shape: "1x4@rack", Count: 1}}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := record.Publish{Name: "account/" + account, Body: data, Blocks: []record.Block{{Slots: []shape.Slot{{Worker: index, Mask: 0xf}}}}}
+	c.view(func(s *state.State) { p.Base = s.Configs[p.Name].Version })
+	c.must(record.KindPublish, p)
+}
+
+// placeOver submits a job and places it on one worker, where it evicts.
+func (c *cluster) placeOver(spec record.Submit, index uint32, victim string, grace int64) {
+	spec.Shape = shape.Shape{Members: 1, GPUs: 4, Level: shape.LevelRack}
+	c.must(record.KindSubmit, spec)
+	c.must(record.KindPlace, record.Place{
+		Job: spec.Job, Revision: c.job(spec.Job).Revision, Slots: []shape.Slot{{Worker: index, Mask: 0xf}}, Grace: grace,
+		Evict: []record.Victim{{Job: victim, Token: c.job(victim).Token}},
+	})
+}
+
 // job returns a copy of the job, or an empty one.
 func (c *cluster) job(id string) (j state.Job) {
 	c.view(func(s *state.State) {
@@ -165,6 +196,7 @@
 		}
 		select {
 		case <-changed:
+		case <-c.events:
 		case <-limit.C:
 			c.view(func(s *state.State) {
 				for id, j := range s.Jobs {
@@ -194,3 +226,16 @@
 	c.waitPhase("j2", state.JobDone)
 	is.Equal(standin.Violations(c.workers.Audit()), nil)
 }
+
+func isAs[T error](err error, target *T) bool { return errors.As(err, target) }
+
+func sortSlots(slots []shape.Slot) {
+	slices.SortFunc(slots, func(a, b shape.Slot) int { return cmp.Compare(a.Worker, b.Worker) })
+}
+
+// pause lets a fault last; it waits for no result.
+func pause(t *testing.T, d time.Duration) {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	<-ctx.Done()
+}
--- a/worker/keeper.go
+++ b/worker/keeper.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"jasminelane.example/lane/record"
@@ -18,14 +20,19 @@
 	DefaultRankDelay = 300 * time.Millisecond
 	DefaultParallel  = 64                    // syncs in flight
 	DefaultScan      = 20 * time.Millisecond // shortest time between two scans of the state
-	backups          = 2                     // ranks beyond the first that renew leases too
 )
 
+// backups is how many ranks beyond the first renew leases. With none, a lease
+// of 15 s could expire before a failed instance is evicted, which takes 5 s to
+// 30 s.
+const backups = 2
+
 // Keeper renews the leases of workers and turns their answers into records.
 // The instance that ranks first for a worker syncs it three times a lease and
 // whenever its grants change; the next two ranks do so after a delay and half
-// as often, so a lease outlives the loss of one or two instances. Exported
-// fields are set before Run.
+// as often, so a lease outlives the failure of an instance. Exported fields
+// are set before Run. The functions are called without any lock held, apart
+// from the one that View takes.
 type Keeper struct {
 	View    func(func(*state.State))
 	Propose func(context.Context, ...record.Record) ([]state.Outcome, error)
@@ -33,47 +40,55 @@
 	Rank    func(subject string) int // 0 is first; below 0: not a member
 	Fresh   func() bool              // whether the view may be acted on; nil means always
 	Sync    func(ctx context.Context, addr string, q SyncRequest) (SyncAnswer, error)
+	Count   func(event string) // counts events such as "sync.stale"; nil means nobody counts
+
+	Lease      time.Duration // default DefaultLease
+	RankDelay  time.Duration // default DefaultRankDelay
+	Scan       time.Duration // default DefaultScan
+	Parallel   int           // default DefaultParallel
+	Quarantine Quarantine
+	Logger     *zap.Logger // default none
 
-	Lease     time.Duration // default DefaultLease
-	RankDelay time.Duration // default DefaultRankDelay
-	Scan      time.Duration // default DefaultScan
-	Parallel  int           // default DefaultParallel
-	Logger    *zap.Logger   // default none
-	Now       func() time.Time
-
-	mu    sync.Mutex
-	table map[uint32]*kept
-	slots chan struct{}
-	wg    sync.WaitGroup
+	mu      sync.Mutex
+	table   map[uint32]*kept
+	members uint64 // digest of the members and the number of workers that the table is for
+	slots   chan struct{}
+	wake    chan struct{}
+	wg      sync.WaitGroup
 }
 
 // kept is what the keeper knows of one worker. It is guarded by Keeper.mu.
 type kept struct {
-	rank     int
-	edition  uint64    // of the worker's grants in the last sync
-	changed  time.Time // when a newer edition was first seen; zero when none
-	next     time.Time // next sync
-	reached  time.Time // last accepted sync, or when the worker was first kept
-	busy     bool
-	answer   *SyncAnswer
-	request  SyncRequest
-	answered time.Time
-	wait     time.Duration // how long unreachable before it is reported lost
+	rank      int
+	edition   uint64    // of the worker's grants in the last sync
+	changed   time.Time // when a newer edition was first seen; zero when none
+	next      time.Time // next sync
+	reached   time.Time // last answer, or when the worker was first kept
+	busy      bool      // a sync is in flight
+	proposing bool      // a proposal is in flight
+	quiet     time.Time // no proposals before this
+	request   SyncRequest
+	answer    *SyncAnswer // last answer to an accepted sync, to request
+	answered  time.Time
+	since     time.Time     // since when there is something to propose
+	lost      time.Time     // when the worker was first seen as lost
+	wait      time.Duration // how long unreachable before it is reported lost
 }
 
 // Run keeps workers until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.defaults()
 	defer k.wg.Wait()
-	scan := time.NewTicker(k.Lease / 30)
-	defer scan.Stop()
+	tick := time.NewTicker(k.Lease / 60)
+	defer tick.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	for {
 		changed := k.Changed()
 		k.scan(ctx)
-		pause := time.NewTimer(k.Scan)
+		pause.Reset(k.Scan)
 		select {
 		case <-ctx.Done():
-			pause.Stop()
 			return nil
 		case <-pause.C:
 		}
@@ -81,7 +96,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-		case <-scan.C:
+		case <-k.wake:
+		case <-tick.C:
 		}
 	}
 }
@@ -102,14 +118,17 @@
 	if k.Logger == nil {
 		k.Logger = zap.NewNop()
 	}
-	if k.Now == nil {
-		k.Now = time.Now
+	if k.Count == nil {
+		k.Count = func(string) {}
 	}
 	if k.Sync == nil {
 		k.Sync = (&Client{Timeout: k.Lease / 6}).Sync
 	}
+	k.Quarantine.defaults()
 	k.table = map[uint32]*kept{}
+	k.members = 0
 	k.slots = make(chan struct{}, k.Parallel)
+	k.wake = make(chan struct{}, 1)
 }
 
 // scan starts the syncs that are due and proposes what the last answers ask
@@ -118,35 +137,66 @@
 	if k.Fresh != nil && !k.Fresh() {
 		return
 	}
-	now := k.Now()
+	now := time.Now()
+	k.rank(now)
 	var recs []record.Record
+	var from []*kept
 	k.View(func(s *state.State) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		for _, w := range s.Workers {
-			rank := k.Rank(w.Name)
-			if w.Gone || rank < 0 || rank > backups {
-				delete(k.table, w.Index)
+		for index, e := range k.table {
+			if int(index) >= len(s.Workers) || s.Workers[index].Gone {
 				continue
 			}
-			e := k.entry(w, rank, now)
+			w := s.Workers[index]
 			k.plan(ctx, s, w, e, now)
-			recs = append(recs, k.records(s, w, e, now)...)
+			if e.proposing || now.Before(e.quiet) {
+				continue
+			}
+			if out := k.records(s, w, e, now); len(out) > 0 {
+				recs = append(recs, out...)
+				e.proposing = true
+				from = append(from, e)
+			}
 		}
 	})
 	if len(recs) > 0 {
-		k.wg.Go(func() { k.propose(ctx, recs) })
+		k.wg.Go(func() { k.propose(ctx, recs, from) })
 	}
 }
 
-func (k *Keeper) entry(w *state.Worker, rank int, now time.Time) *kept {
-	e := k.table[w.Index]
-	if e == nil {
-		e = &kept{next: now, reached: now, wait: k.Lease}
-		k.table[w.Index] = e
+// rank brings the table to the workers that this instance is to keep. Ranks
+// are derived only when the members or the workers change: hashing 12,000
+// workers against 170 members on each scan would take most of a core.
+func (k *Keeper) rank(now time.Time) {
+	h := xxhash.New()
+	var names []string
+	k.View(func(s *state.State) {
+		for _, m := range s.Members {
+			_, _ = h.WriteString(m.Writer)
+			_, _ = h.WriteString(" ")
+		}
+		sum := h.Sum64() + uint64(len(s.Workers)) + 1
+		if sum == k.members {
+			return
+		}
+		k.members = sum
+		for _, w := range s.Workers {
+			names = append(names, w.Name)
+		}
+	})
+	for i, name := range names {
+		rank := k.Rank(name)
+		k.mu.Lock()
+		if rank < 0 || rank > backups {
+			delete(k.table, uint32(i))
+		} else if e := k.table[uint32(i)]; e != nil {
+			e.rank = rank
+		} else {
+			k.table[uint32(i)] = &kept{rank: rank, next: now, reached: now, wait: k.Lease}
+		}
+		k.mu.Unlock()
 	}
-	e.rank = rank
-	return e
 }
 
 // plan starts a sync when the period has passed or the grants have changed.
@@ -176,72 +226,88 @@
 	if e.rank > 0 {
 		period = k.Lease * 2 / 3
 	}
-	e.next = now.Add(period)
-	addr, index := w.Addr, w.Index
+	// Up to a tenth earlier, so that syncs do not stay in step.
+	e.next = now.Add(period - rand.N(period/10))
+	addr := w.Addr
 	k.wg.Go(func() {
 		a, err := k.Sync(ctx, addr, q)
 		<-k.slots
-		k.answered(index, q, a, err)
+		k.answered(e, q, a, err)
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
 	})
 }
 
-func (k *Keeper) answered(index uint32, q SyncRequest, a SyncAnswer, err error) {
-	now := k.Now()
+func (k *Keeper) answered(e *kept, q SyncRequest, a SyncAnswer, err error) {
+	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := k.table[index]
-	if e == nil {
-		return
-	}
 	e.busy = false
 	var stale *StaleError
 	switch {
 	case err == nil:
-		e.answer, e.request, e.answered, e.reached = &a, q, now, now
+		e.answer, e.request, e.answered, e.reached, e.wait = &a, q, now, now, k.Lease
+		if soon := k.soon(q, a); soon > 0 && now.Add(soon).Before(e.next) {
+			e.next = now.Add(soon)
+		}
 	case errors.As(err, &stale):
-		e.reached = now // it lives; another instance is ahead of this one
+		e.reached = now // it is alive; another instance's view is newer
+		e.next = now.Add(k.Lease / 60)
+		k.Count("sync.stale")
 	default:
 		e.next = now.Add(k.Lease / 15)
+		k.Count("sync.unreachable")
 		k.Logger.Info("sync failed", zap.String("worker", q.Worker), zap.Error(err))
 	}
 }
 
-// records returns what the last answer of the worker, or its silence, asks
-// for. Ranks beyond the first wait, because the first has likely proposed the
-// same.
-func (k *Keeper) records(s *state.State, w *state.Worker, e *kept, now time.Time) []record.Record {
-	delay := time.Duration(e.rank) * k.RankDelay
-	var out []record.Record
-	add := func(r record.Record, err error) {
-		if err == nil {
-			out = append(out, r)
+// soon returns after which time something is expected to have changed on the
+// worker, so that the end of a short task is not found one period late; 0
+// means that nothing is expected.
+func (k *Keeper) soon(q SyncRequest, a SyncAnswer) time.Duration {
+	shortest := k.Lease / 60
+	soon := time.Duration(0)
+	least := func(d time.Duration) {
+		if d = max(d, shortest); soon == 0 || d < soon {
+			soon = d
 		}
 	}
-	if now.Sub(e.reached) >= e.wait+delay && w.Condition != record.ConditionLost {
-		add(record.New(record.KindHealth, "", record.Health{Worker: w.Index, Revision: w.Revision, Condition: record.ConditionLost, Cause: "unreachable"}))
-		return out
-	}
-	if e.answer == nil || now.Sub(e.answered) < delay {
-		return out
-	}
-	if w.Condition == record.ConditionLost && now.Sub(e.reached) < k.Lease/3 {
-		add(record.New(record.KindHealth, "", record.Health{Worker: w.Index, Revision: w.Revision, Condition: record.ConditionReady, Cause: "reachable"}))
+	for _, t := range a.Tasks {
+		if _, ok := t.outcome(); ok {
+			least(shortest) // to be acknowledged
+		}
+		if t.Phase == StatusRunning && t.Progress > 0 && t.Ran > 0 {
+			left := float64(t.Ran) * (1 - t.Progress) / t.Progress
+			least(time.Duration(min(left, 1e9)) * time.Millisecond)
+		}
 	}
-	if res := Results(s, w, e.request, *e.answer); len(res) > 0 {
-		add(record.New(record.KindReport, "", record.Report{Worker: w.Index, Results: res}))
+	for _, g := range q.Grants {
+		if g.Phase == PhaseCheckpoint {
+			least(min(k.Lease/30, time.Duration(g.Grace)*time.Millisecond))
+		}
 	}
-	return out
+	return soon
 }
 
-func (k *Keeper) propose(ctx context.Context, recs []record.Record) {
+func (k *Keeper) propose(ctx context.Context, recs []record.Record, from []*kept) {
 	out, err := k.Propose(ctx, recs...)
-	if err != nil {
-		k.Logger.Info("proposals failed", zap.Int("records", len(recs)), zap.Error(err))
-		return
-	}
 	for _, o := range out {
 		if !o.Accepted() {
-			k.Logger.Debug("refused", zap.String("kind", string(o.Kind)), zap.String("reason", string(o.Reason)))
+			k.Count("refused." + string(o.Reason))
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, e := range from {
+		e.proposing = false
+		if err != nil {
+			e.quiet = time.Now().Add(k.Lease / 15)
 		}
 	}
+	if err != nil {
+		k.Count("propose.failed")
+		k.Logger.Info("proposals failed", zap.Int("records", len(recs)), zap.Error(err))
+	}
 }
--- a/worker/starter.go
+++ b/worker/starter.go
@@ -15,9 +15,24 @@
 // longest grace of what is evicted for it.
 const DefaultHoldTime = 2 * time.Second
 
-// Starter brings gangs from holding to running. The instance that ranks first
-// for a job acts at once; others act after a delay when nothing has changed.
-// Exported fields are set before Run.
+// Starter brings gangs from holding to running, in steps that any instance can
+// repeat for the same token:
+//
+//  1. sync all members until each holds; propose the start with the
+//     incarnation of each worker, or an abort when one refuses or in time not
+//     all hold;
+//  2. once the start is in the log, sync all members until each is armed;
+//  3. tell all members to run, until each says that it does.
+//
+// Step 2 finds the holds that were lost while the start was on its way through
+// the log: such a worker answers absent, its keeper reports that, and the fold
+// releases the gang before any member has run. A worker that is lost after
+// step 2 is no different from one that is lost while the gang runs.
+//
+// The instance that ranks first for a job acts at once, the others after a
+// delay when the gang does not run by then. Exported fields are set before
+// Run. The functions are called without any lock held, apart from the one that
+// View takes.
 type Starter struct {
 	View    func(func(*state.State))
 	Propose func(context.Context, ...record.Record) ([]state.Outcome, error)
@@ -26,12 +41,13 @@
 	Fresh   func() bool // nil means always
 	Sync    func(ctx context.Context, addr string, q SyncRequest) (SyncAnswer, error)
 
-	Lease     time.Duration // default DefaultLease
-	HoldTime  time.Duration // default DefaultHoldTime
-	RankDelay time.Duration // default DefaultRankDelay
-	Retry     time.Duration // between two rounds of syncs, default 50 ms
-	Parallel  int           // syncs in flight, default DefaultParallel
-	Logger    *zap.Logger   // default none
+	Lease     time.Duration      // default DefaultLease
+	HoldTime  time.Duration      // default DefaultHoldTime
+	RankDelay time.Duration      // default DefaultRankDelay
+	Retry     time.Duration      // between two rounds of syncs, default 50 ms
+	Parallel  int                // syncs in flight, default DefaultParallel
+	Count     func(event string) // counts events such as "abort.refused"; nil means nobody counts
+	Logger    *zap.Logger        // default none
 
 	mu    sync.Mutex
 	gangs map[gang]bool // being driven, or done
@@ -78,6 +94,9 @@
 	if t.Parallel == 0 {
 		t.Parallel = DefaultParallel
 	}
+	if t.Count == nil {
+		t.Count = func(string) {}
+	}
 	if t.Logger == nil {
 		t.Logger = zap.NewNop()
 	}
@@ -116,58 +135,77 @@
 // drive repeats rounds of syncs until the gang runs or is released.
 func (t *Starter) drive(ctx context.Context, g gang) {
 	rank := t.Rank(g.job)
+	delay, retry := time.Duration(max(rank, 0))*t.RankDelay, t.Retry
 	if rank < 0 {
-		rank = 0
+		delay = t.HoldTime // not a member: only when nobody else does it
+	}
+	if rank > backups {
+		delay += t.HoldTime // enough are ahead; do not add to their syncs
+	}
+	if rank != 0 {
+		retry *= 4
 	}
-	if !sleep(ctx, time.Duration(rank)*t.RankDelay) {
+	if !sleep(ctx, delay) {
 		return
 	}
 	began := time.Now()
 	for {
-		r := t.round(ctx, g)
-		switch {
-		case r.gone || r.running:
+		r := t.step(ctx, g, time.Since(began))
+		if r.gone || r.running {
 			return
-		case r.phase == state.JobHolding && r.refused != "":
-			t.propose(ctx, record.KindAbort, record.Abort{Job: g.job, Token: g.token, Cause: r.refused})
-		case r.phase == state.JobHolding && r.held:
-			t.propose(ctx, record.KindStart, record.Start{Job: g.job, Token: g.token, Boots: r.boots})
-		case r.phase == state.JobHolding && time.Since(began) >= t.HoldTime+r.grace:
-			t.propose(ctx, record.KindAbort, record.Abort{Job: g.job, Token: g.token, Cause: "not all members hold in time"})
-		case r.phase == state.JobRunning && r.armed:
-			t.syncAll(ctx, g, true)
-			continue
 		}
-		if !sleep(ctx, t.Retry) {
+		if !sleep(ctx, retry) {
 			return
 		}
 	}
 }
 
+// step syncs all members once and takes the next step if they allow it.
+func (t *Starter) step(ctx context.Context, g gang, passed time.Duration) result {
+	if t.Fresh != nil && !t.Fresh() {
+		return result{}
+	}
+	r := t.syncAll(ctx, g, false)
+	switch {
+	case r.gone || r.running:
+	case r.phase == state.JobHolding && r.refused != "":
+		t.Count("abort.refused")
+		t.propose(ctx, add(nil, t.Logger, record.KindAbort, record.Abort{Job: g.job, Token: g.token, Cause: r.refused, Missed: r.missed})...)
+	case r.phase == state.JobHolding && r.held:
+		t.Count("start")
+		// First what the evicted jobs kept: the start ends their tasks, and the
+		// batcher would put a report in the same call behind it.
+		t.propose(ctx, r.reports...)
+		t.propose(ctx, add(nil, t.Logger, record.KindStart, record.Start{Job: g.job, Token: g.token, Boots: r.boots})...)
+	case r.phase == state.JobHolding && passed >= t.HoldTime+r.grace:
+		t.Count("abort.late")
+		t.propose(ctx, add(nil, t.Logger, record.KindAbort, record.Abort{Job: g.job, Token: g.token, Cause: "not all members hold in time", Missed: r.missed})...)
+	case r.phase == state.JobRunning && r.armed:
+		r = t.syncAll(ctx, g, true)
+	}
+	return r
+}
+
 // result is what one round of syncs found.
 type result struct {
 	gone    bool // the placement has ended
 	phase   state.JobPhase
-	held    bool // all members hold or are beyond that
-	armed   bool // all members are armed or run, and at least one is not running
-	running bool // all members run
-	refused string
+	held    bool     // all members hold or are beyond that
+	armed   bool     // all members are armed or run, and at least one is not running
+	running bool     // all members run
+	refused string   // why a member will never hold
+	missed  []uint32 // workers that do not hold
 	boots   []uint64
+	reports []record.Record
 	grace   time.Duration // of what still stops on the gang's accelerators
 }
 
-// round syncs all members once.
-func (t *Starter) round(ctx context.Context, g gang) result {
-	if t.Fresh != nil && !t.Fresh() {
-		return result{}
-	}
-	return t.syncAll(ctx, g, false)
-}
-
+// syncAll syncs all members; run says that they are to run.
 func (t *Starter) syncAll(ctx context.Context, g gang, run bool) result {
 	type call struct {
-		addr string
-		q    SyncRequest
+		index uint32
+		addr  string
+		q     SyncRequest
 	}
 	var calls []call
 	r := result{gone: true}
@@ -183,7 +221,7 @@
 		}
 		for _, sl := range j.Slots {
 			w := s.Workers[sl.Worker]
-			calls = append(calls, call{w.Addr, Request(s, w, t.Lease.Milliseconds(), name)})
+			calls = append(calls, call{w.Index, w.Addr, Request(s, w, t.Lease.Milliseconds(), name)})
 			for _, x := range w.Tasks {
 				if x.Phase == state.TaskStopping && x.Mask&sl.Mask != 0 {
 					r.grace = max(r.grace, time.Duration(x.Grace)*time.Millisecond)
@@ -196,6 +234,7 @@
 	}
 	r.boots = make([]uint64, len(calls))
 	phases := make([]string, len(calls))
+	answers := make([]SyncAnswer, len(calls))
 	var wg sync.WaitGroup
 	for i, c := range calls {
 		t.slots <- struct{}{}
@@ -203,9 +242,10 @@
 			defer func() { <-t.slots }()
 			a, err := t.Sync(ctx, c.addr, c.q)
 			if err != nil {
+				t.Count("sync.failed")
 				return
 			}
-			r.boots[i] = a.Boot
+			r.boots[i], answers[i] = a.Boot, a
 			for _, st := range a.Tasks {
 				if st.Job == g.job && st.Token == g.token {
 					phases[i] = st.Phase
@@ -214,6 +254,17 @@
 		})
 	}
 	wg.Wait()
+	t.View(func(s *state.State) {
+		for i, c := range calls {
+			if answers[i].Boot == 0 {
+				continue // no answer says nothing about tasks that are being stopped
+			}
+			w := s.Workers[c.index]
+			if res := Results(s, w, c.q, answers[i]); len(res) > 0 {
+				r.reports = add(r.reports, t.Logger, record.KindReport, record.Report{Worker: w.Index, Results: res})
+			}
+		}
+	})
 	r.held, r.armed, r.running = true, true, true
 	for i, p := range phases {
 		switch p {
@@ -223,22 +274,30 @@
 			r.running = false
 		case StatusRunning, StatusDone, StatusFailed, StatusStopped:
 		case StatusAbsent, StatusRefused:
+			r.missed = append(r.missed, calls[i].index)
 			r.refused = "worker " + calls[i].q.Worker + " refuses"
 			r.held, r.armed, r.running = false, false, false
 		default:
+			r.missed = append(r.missed, calls[i].index)
 			r.held, r.armed, r.running = false, false, false
 		}
 	}
 	return r
 }
 
-func (t *Starter) propose(ctx context.Context, kind record.Kind, body any) {
-	r, err := record.New(kind, "", body)
-	if err != nil {
+func (t *Starter) propose(ctx context.Context, recs ...record.Record) {
+	if len(recs) == 0 {
 		return
 	}
-	if _, err := t.Propose(ctx, r); err != nil {
-		t.Logger.Info("proposal failed", zap.String("kind", string(kind)), zap.Error(err))
+	out, err := t.Propose(ctx, recs...)
+	for _, o := range out {
+		if !o.Accepted() {
+			t.Count("refused." + string(o.Reason))
+		}
+	}
+	if err != nil {
+		t.Count("propose.failed")
+		t.Logger.Info("proposal failed", zap.String("kind", string(recs[0].Kind)), zap.Error(err))
 	}
 }
 
