--- a/state/image.go
+++ b/state/image.go
@@ -187,11 +187,12 @@
 		return nil, err
 	}
 	for _, j := range im.Jobs {
+		j.Spec.Account, j.Spec.Kind = s.intern(j.Spec.Account), s.intern(j.Spec.Kind)
 		x := &Job{
 			ID: j.Spec.Job, Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
 			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
-			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: j.Cause,
+			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: s.intern(j.Cause),
 		}
 		s.Jobs[x.ID] = x
 		if s.starting(x) {
--- a/state/job.go
+++ b/state/job.go
@@ -21,6 +21,7 @@
 	MaxInput    = 4096   // bytes of a job's input
 	maxAmount   = 1e9    // cores or GB for each accelerator
 	maxCause    = 256    // bytes of a cause that are kept
+	maxInterned = 4096   // strings in the table; it is emptied when full
 	StartWindow = 30_000 // milliseconds after a start in which Starting lists the job
 )
 
@@ -47,6 +48,8 @@
 	if len(s.Jobs) >= MaxJobs {
 		return ReasonFull, "jobs"
 	}
+	// Equal strings share memory; there are few accounts and kinds.
+	v.Account, v.Kind = a.Name, s.intern(v.Kind)
 	s.Jobs[v.Job] = &Job{ID: v.Job, Spec: v, Revision: s.token(), Submitted: s.Now, Changed: s.Now, Cause: "submitted"}
 	return "", ""
 }
@@ -307,6 +310,19 @@
 	return n
 }
 
+// intern returns a string equal to text that is kept once.
+func (s *State) intern(text string) string {
+	if kept, ok := s.interned[text]; ok {
+		return kept
+	}
+	if len(s.interned) >= maxInterned {
+		clear(s.interned)
+	}
+	text = strings.Clone(text) // text may be a part of something large
+	s.interned[text] = text
+	return text
+}
+
 // clip bounds a text that the state keeps.
 func clip(text string) string {
 	if len(text) <= maxCause {
--- a/state/state.go
+++ b/state/state.go
@@ -43,6 +43,7 @@
 	Touched func(*Worker)
 
 	workerByName map[string]*Worker
+	interned     map[string]string
 	placedJobs   map[*Job]struct{} // jobs that Starting may return, and some that have gone on
 	lastSweep    int64
 	hash         *xxhash.Digest
@@ -332,6 +333,7 @@
 	s.Claims = map[string]*Claim{}
 	s.Refused = map[Reason]uint64{}
 	s.workerByName = map[string]*Worker{}
+	s.interned = map[string]string{}
 	s.placedJobs = map[*Job]struct{}{}
 }
 
