Refer to jobs by number in the state's image

Cause: each of 190,000 tasks in the image repeated the name of its job, and loading looked each name up. Ruled out: deriving tasks from the jobs alone, because a job's earlier tasks can still be stopping. Change: a task names its job by the index in the image; the lists of workers and jobs are allocated at their size.

--- a/state/image.go
+++ b/state/image.go
@@ -63,7 +63,7 @@
 }
 
 type taskImage struct {
-	Job   string     `cbor:"job"`
+	Job   int        `cbor:"job"` // index in Image.Jobs
 	Token uint64     `cbor:"token"`
 	Mask  shape.Mask `cbor:"mask"`
 	Phase TaskPhase  `cbor:"phase"`
@@ -120,6 +120,13 @@
 	for _, r := range s.Racks {
 		im.Racks = append(im.Racks, rackImage{r.Name, r.Domain.Index})
 	}
+	im.Workers = make([]workerImage, 0, len(s.Workers))
+	im.Jobs = make([]jobImage, 0, len(s.Jobs))
+	jobs := sorted(s.Jobs, func(j *Job) string { return j.ID })
+	index := make(map[*Job]int, len(jobs))
+	for i, j := range jobs {
+		index[j] = i
+	}
 	for _, w := range s.Workers {
 		wi := workerImage{
 			Name: w.Name, Addr: w.Addr, Rack: w.Rack.Index, GPUs: w.GPUs, Cores: w.Cores, Memory: w.Memory,
@@ -127,14 +134,14 @@
 			Cause: w.Cause, Missed: w.Missed, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
 		}
 		for _, t := range w.Tasks {
-			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
+			wi.Tasks = append(wi.Tasks, taskImage{index[t.Job], t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
 		}
 		for _, b := range w.Blocks {
 			wi.Blocks = append(wi.Blocks, blockRef{b.Account, b.Promise, b.Copy})
 		}
 		im.Workers = append(im.Workers, wi)
 	}
-	for _, j := range sorted(s.Jobs, func(j *Job) string { return j.ID }) {
+	for _, j := range jobs {
 		im.Jobs = append(im.Jobs, jobImage{
 			Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
@@ -186,6 +193,7 @@
 	if err := s.loadWorkers(im); err != nil {
 		return nil, err
 	}
+	jobs := make([]*Job, 0, len(im.Jobs))
 	for _, j := range im.Jobs {
 		j.Spec.Account, j.Spec.Kind = s.intern(j.Spec.Account), s.intern(j.Spec.Kind)
 		x := &Job{
@@ -195,6 +203,7 @@
 			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: s.intern(j.Cause),
 		}
 		s.Jobs[x.ID] = x
+		jobs = append(jobs, x)
 		if s.starting(x) {
 			s.placedJobs[x] = struct{}{}
 		}
@@ -202,7 +211,7 @@
 	if err := s.loadAccounts(im); err != nil {
 		return nil, err
 	}
-	return s, s.loadTasks(im)
+	return s, s.loadTasks(im, jobs)
 }
 
 func (s *State) loadWorkers(im *Image) error {
@@ -256,14 +265,14 @@
 	return nil
 }
 
-func (s *State) loadTasks(im *Image) error {
+func (s *State) loadTasks(im *Image, jobs []*Job) error {
 	for i, wi := range im.Workers {
 		w := s.Workers[i]
 		for _, ti := range wi.Tasks {
-			j := s.Jobs[ti.Job]
-			if j == nil {
-				return &ImageError{fmt.Sprintf("task of worker %s has no job %s", w.Name, ti.Job)}
+			if ti.Job < 0 || ti.Job >= len(jobs) {
+				return &ImageError{fmt.Sprintf("task of worker %s has no job %d", w.Name, ti.Job)}
 			}
+			j := jobs[ti.Job]
 			w.Tasks = append(w.Tasks, &Task{Job: j, Token: ti.Token, Mask: ti.Mask, Phase: ti.Phase, Grace: ti.Grace, Boot: ti.Boot})
 		}
 		for _, ref := range wi.Blocks {
