Use numbers as keys in the repeated rows of the image

Ruled out: rows as arrays, because a row with a new field could then not be read by an older program. Change: numbered keys, and zero values are left out.

--- a/state/image.go
+++ b/state/image.go
@@ -41,60 +41,63 @@
 	Domain int    `cbor:"domain"`
 }
 
+// The keys of the rows below are numbers, because names made up half of the
+// image. A number is never used again for another field.
+
 type workerImage struct {
-	Name      string           `cbor:"name"`
-	Addr      string           `cbor:"addr"`
-	Rack      int              `cbor:"rack"`
-	GPUs      int              `cbor:"gpus"`
-	Cores     float64          `cbor:"cores"`
-	Memory    float64          `cbor:"memory"`
-	Condition record.Condition `cbor:"cond"`
-	Revision  uint64           `cbor:"rev"`
-	Since     int64            `cbor:"since"`
-	Gone      bool             `cbor:"gone"`
-	Cause     string           `cbor:"cause,omitempty"`
-	Missed    int64            `cbor:"missed,omitempty"`
-	Strikes   uint32           `cbor:"strikes,omitempty"`
-	Done      uint32           `cbor:"done,omitempty"`
-	Failed    uint32           `cbor:"failed,omitempty"`
-	Failures  []Failure        `cbor:"failures,omitempty"`
-	Tasks     []taskImage      `cbor:"tasks"`
-	Blocks    []blockRef       `cbor:"blocks"` // order of Worker.Blocks
+	Name      string           `cbor:"1,keyasint"`
+	Addr      string           `cbor:"2,keyasint"`
+	Rack      int              `cbor:"3,keyasint"`
+	GPUs      int              `cbor:"4,keyasint"`
+	Cores     float64          `cbor:"5,keyasint"`
+	Memory    float64          `cbor:"6,keyasint"`
+	Condition record.Condition `cbor:"7,keyasint,omitempty"`
+	Revision  uint64           `cbor:"8,keyasint,omitempty"`
+	Since     int64            `cbor:"9,keyasint"`
+	Gone      bool             `cbor:"10,keyasint,omitempty"`
+	Cause     string           `cbor:"11,keyasint,omitempty"`
+	Missed    int64            `cbor:"12,keyasint,omitempty"`
+	Strikes   uint32           `cbor:"13,keyasint,omitempty"`
+	Done      uint32           `cbor:"14,keyasint,omitempty"`
+	Failed    uint32           `cbor:"15,keyasint,omitempty"`
+	Failures  []Failure        `cbor:"16,keyasint,omitempty"`
+	Tasks     []taskImage      `cbor:"17,keyasint,omitempty"`
+	Blocks    []blockRef       `cbor:"18,keyasint,omitempty"` // order of Worker.Blocks
 }
 
 type taskImage struct {
-	Job   int        `cbor:"job"` // index in Image.Jobs
-	Token uint64     `cbor:"token"`
-	Mask  shape.Mask `cbor:"mask"`
-	Phase TaskPhase  `cbor:"phase"`
-	Grace int64      `cbor:"grace,omitempty"`
-	Boot  uint64     `cbor:"boot,omitempty"`
+	Job   int        `cbor:"1,keyasint"` // index in Image.Jobs
+	Token uint64     `cbor:"2,keyasint"`
+	Mask  shape.Mask `cbor:"3,keyasint"`
+	Phase TaskPhase  `cbor:"4,keyasint"`
+	Grace int64      `cbor:"5,keyasint,omitempty"`
+	Boot  uint64     `cbor:"6,keyasint,omitempty"`
 }
 
 type blockRef struct {
-	Account string `cbor:"account"`
-	Promise int    `cbor:"promise"`
-	Copy    int    `cbor:"copy"`
+	Account string `cbor:"1,keyasint"`
+	Promise int    `cbor:"2,keyasint"`
+	Copy    int    `cbor:"3,keyasint"`
 }
 
 type jobImage struct {
-	Spec       record.Submit `cbor:"spec"`
-	Phase      JobPhase      `cbor:"phase"`
-	Revision   uint64        `cbor:"rev"`
-	Token      uint64        `cbor:"token"`
-	Slots      []shape.Slot  `cbor:"slots"`
-	Guaranteed bool          `cbor:"guaranteed"`
-	Pending    int           `cbor:"pending"`
-	Submitted  int64         `cbor:"submitted"`
-	Changed    int64         `cbor:"changed"`
-	Started    int64         `cbor:"started"`
-	Starts     int           `cbor:"starts"`
-	Failures   int           `cbor:"failures"`
-	FailedOn   []uint32      `cbor:"failedon"`
-	Progress   float64       `cbor:"progress"`
-	Kept       float64       `cbor:"kept,omitempty"`
-	Lost       int64         `cbor:"lost"`
-	Cause      string        `cbor:"cause"`
+	Spec       record.Submit `cbor:"1,keyasint"`
+	Phase      JobPhase      `cbor:"2,keyasint"`
+	Revision   uint64        `cbor:"3,keyasint"`
+	Token      uint64        `cbor:"4,keyasint"`
+	Slots      []shape.Slot  `cbor:"5,keyasint,omitempty"`
+	Guaranteed bool          `cbor:"6,keyasint,omitempty"`
+	Pending    int           `cbor:"7,keyasint,omitempty"`
+	Submitted  int64         `cbor:"8,keyasint"`
+	Changed    int64         `cbor:"9,keyasint"`
+	Started    int64         `cbor:"10,keyasint,omitempty"`
+	Starts     int           `cbor:"11,keyasint,omitempty"`
+	Failures   int           `cbor:"12,keyasint,omitempty"`
+	FailedOn   []uint32      `cbor:"13,keyasint,omitempty"`
+	Progress   float64       `cbor:"14,keyasint,omitempty"`
+	Kept       float64       `cbor:"15,keyasint,omitempty"`
+	Lost       int64         `cbor:"16,keyasint,omitempty"`
+	Cause      string        `cbor:"17,keyasint"`
 }
 
 type countImage struct {
