Find a worker in a block by binary search

Cause: counting the reserved accelerators of a worker walked all slots of each block on it, so a gang in a block of n workers cost n squared. Ruled out: masks for each worker in the block, which would add to the memory. Change: slots are in ascending order of workers, which the fold checks, so they are searched.

--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -234,3 +234,30 @@
 		}
 	}
 }
+
+// BenchmarkGang measures placing and releasing a gang on 512 workers within a
+// block of its account; each slot has to be found in the block.
+func BenchmarkGang(b *testing.B) {
+	f := newFleet(b, 12_000, 8)
+	sh := shape.Shape{Members: 512, GPUs: 1, Level: shape.LevelDomain}
+	var slots []shape.Slot
+	for _, w := range f.s.Workers {
+		if w.Rack.Domain.Name == "domain31" && len(slots) < 300 {
+			slots = append(slots, shape.Slot{Worker: w.Index, Mask: 0xf0})
+		}
+	}
+	sh.Members = 4 * len(slots)
+	if sh.Members > shape.MaxMembers {
+		slots = slots[:shape.MaxMembers/4]
+		sh.Members = shape.MaxMembers
+	}
+	body, _ := json.Marshal(AccountBody{Guarantees: []GuaranteeBody{{sh.String(), 1}}})
+	f.apply(1, newRecord(b, record.KindPublish, record.Publish{Name: "account/big", Body: body, Blocks: []record.Block{{Slots: slots}}}))
+	f.apply(1, newRecord(b, record.KindSubmit, record.Submit{Job: "gang", Account: "big", Shape: sh}))
+	j := f.s.Jobs["gang"]
+	for b.Loop() {
+		f.apply(1, newRecord(b, record.KindPlace, record.Place{Job: "gang", Revision: j.Revision, Slots: slots}))
+		f.apply(1, newRecord(b, record.KindAbort, record.Abort{Job: "gang", Token: j.Token}))
+		f.batches = f.batches[:0]
+	}
+}
--- a/state/block.go
+++ b/state/block.go
@@ -24,10 +24,8 @@
 			if o.Broken || mine(o) {
 				continue
 			}
-			for _, os := range o.Slots {
-				if os.Worker == sl.Worker && os.Mask&sl.Mask != 0 {
-					return ReasonInfeasible, "overlaps a block of account " + o.Account
-				}
+			if maskOn(o.Slots, w)&sl.Mask != 0 {
+				return ReasonInfeasible, "overlaps a block of account " + o.Account
 			}
 		}
 		for _, t := range w.Tasks {
@@ -178,11 +176,7 @@
 			if b.Broken || b.Account != account {
 				continue
 			}
-			for _, bs := range b.Slots {
-				if bs.Worker == sl.Worker {
-					own |= bs.Mask
-				}
-			}
+			own |= maskOn(b.Slots, s.Workers[sl.Worker])
 		}
 		if sl.Mask&^own != 0 {
 			return false
--- a/state/check.go
+++ b/state/check.go
@@ -95,16 +95,6 @@
 	return nil
 }
 
-// maskOn returns the accelerators of the slots on the worker.
-func maskOn(slots []shape.Slot, w *Worker) shape.Mask {
-	for _, sl := range slots {
-		if sl.Worker == w.Index {
-			return sl.Mask
-		}
-	}
-	return 0
-}
-
 func (s *State) checkReserved(a *Account, b *Block) error {
 	for _, sl := range b.Slots {
 		if !slices.Contains(s.Workers[sl.Worker].Blocks, b) {
--- a/state/place.go
+++ b/state/place.go
@@ -133,11 +133,7 @@
 		if b.Broken || b.Account == account {
 			continue
 		}
-		for _, sl := range b.Slots {
-			if sl.Worker == w.Index {
-				m |= sl.Mask
-			}
-		}
+		m |= maskOn(b.Slots, w)
 	}
 	return m
 }
--- a/state/worker.go
+++ b/state/worker.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -57,15 +58,21 @@
 		if b.Broken {
 			continue
 		}
-		for _, sl := range b.Slots {
-			if sl.Worker == w.Index {
-				w.reserved |= sl.Mask
-			}
-		}
+		w.reserved |= maskOn(b.Slots, w)
 	}
 	s.touched(w)
 }
 
+// maskOn returns the accelerators of the slots, which are in ascending order
+// of workers, on the worker.
+func maskOn(slots []shape.Slot, w *Worker) shape.Mask {
+	i, ok := slices.BinarySearchFunc(slots, w.Index, func(sl shape.Slot, index uint32) int { return cmp.Compare(sl.Worker, index) })
+	if !ok {
+		return 0
+	}
+	return slots[i].Mask
+}
+
 // Edition changes whenever a task of the worker, or its phase, changes. It is
 // local to this copy of the state.
 func (w *Worker) Edition() uint64 { return w.edition }
