--- a/state/image.go
+++ b/state/image.go
@@ -41,59 +41,63 @@
 	Domain int    `cbor:"domain"`
 }
 
+// The keys of the rows below are numbers, because names made up half of the
+// image. A number is never used again for another field.
+
 type workerImage struct {
-	Name      string           `cbor:"name"`
-	Addr      string           `cbor:"addr"`
-	Rack      int              `cbor:"rack"`
-	GPUs      int              `cbor:"gpus"`
-	Cores     float64          `cbor:"cores"`
-	Memory    float64          `cbor:"memory"`
-	Condition record.Condition `cbor:"cond"`
-	Revision  uint64           `cbor:"rev"`
-	Since     int64            `cbor:"since"`
-	Gone      bool             `cbor:"gone"`
-	Cause     string           `cbor:"cause,omitempty"`
-	Strikes   uint32           `cbor:"strikes,omitempty"`
-	Done      uint32           `cbor:"done,omitempty"`
-	Failed    uint32           `cbor:"failed,omitempty"`
-	Failures  []Failure        `cbor:"failures,omitempty"`
-	Tasks     []taskImage      `cbor:"tasks"`
-	Blocks    []blockRef       `cbor:"blocks"` // order of Worker.Blocks
+	Name      string           `cbor:"1,keyasint"`
+	Addr      string           `cbor:"2,keyasint"`
+	Rack      int              `cbor:"3,keyasint"`
+	GPUs      int              `cbor:"4,keyasint"`
+	Cores     float64          `cbor:"5,keyasint"`
+	Memory    float64          `cbor:"6,keyasint"`
+	Condition record.Condition `cbor:"7,keyasint,omitempty"`
+	Revision  uint64           `cbor:"8,keyasint,omitempty"`
+	Since     int64            `cbor:"9,keyasint"`
+	Gone      bool             `cbor:"10,keyasint,omitempty"`
+	Cause     string           `cbor:"11,keyasint,omitempty"`
+	Missed    int64            `cbor:"12,keyasint,omitempty"`
+	Strikes   uint32           `cbor:"13,keyasint,omitempty"`
+	Done      uint32           `cbor:"14,keyasint,omitempty"`
+	Failed    uint32           `cbor:"15,keyasint,omitempty"`
+	Failures  []Failure        `cbor:"16,keyasint,omitempty"`
+	Tasks     []taskImage      `cbor:"17,keyasint,omitempty"`
+	Blocks    []blockRef       `cbor:"18,keyasint,omitempty"` // order of Worker.Blocks
 }
 
 type taskImage struct {
-	Job   string     `cbor:"job"`
-	Token uint64     `cbor:"token"`
-	Mask  shape.Mask `cbor:"mask"`
-	Phase TaskPhase  `cbor:"phase"`
-	Grace int64      `cbor:"grace,omitempty"`
-	Boot  uint64     `cbor:"boot,omitempty"`
+	Job   int        `cbor:"1,keyasint"` // index in Image.Jobs
+	Token uint64     `cbor:"2,keyasint"`
+	Mask  shape.Mask `cbor:"3,keyasint"`
+	Phase TaskPhase  `cbor:"4,keyasint"`
+	Grace int64      `cbor:"5,keyasint,omitempty"`
+	Boot  uint64     `cbor:"6,keyasint,omitempty"`
 }
 
 type blockRef struct {
-	Account string `cbor:"account"`
-	Promise int    `cbor:"promise"`
-	Copy    int    `cbor:"copy"`
+	Account string `cbor:"1,keyasint"`
+	Promise int    `cbor:"2,keyasint"`
+	Copy    int    `cbor:"3,keyasint"`
 }
 
 type jobImage struct {
-	Spec       record.Submit `cbor:"spec"`
-	Phase      JobPhase      `cbor:"phase"`
-	Revision   uint64        `cbor:"rev"`
-	Token      uint64        `cbor:"token"`
-	Slots      []shape.Slot  `cbor:"slots"`
-	Guaranteed bool          `cbor:"guaranteed"`
-	Pending    int           `cbor:"pending"`
-	Submitted  int64         `cbor:"submitted"`
-	Changed    int64         `cbor:"changed"`
-	Started    int64         `cbor:"started"`
-	Starts     int           `cbor:"starts"`
-	Failures   int           `cbor:"failures"`
-	FailedOn   []uint32      `cbor:"failedon"`
-	Progress   float64       `cbor:"progress"`
-	Kept       float64       `cbor:"kept,omitempty"`
-	Lost       int64         `cbor:"lost"`
-	Cause      string        `cbor:"cause"`
+	Spec       record.Submit `cbor:"1,keyasint"`
+	Phase      JobPhase      `cbor:"2,keyasint"`
+	Revision   uint64        `cbor:"3,keyasint"`
+	Token      uint64        `cbor:"4,keyasint"`
+	Slots      []shape.Slot  `cbor:"5,keyasint,omitempty"`
+	Guaranteed bool          `cbor:"6,keyasint,omitempty"`
+	Pending    int           `cbor:"7,keyasint,omitempty"`
+	Submitted  int64         `cbor:"8,keyasint"`
+	Changed    int64         `cbor:"9,keyasint"`
+	Started    int64         `cbor:"10,keyasint,omitempty"`
+	Starts     int           `cbor:"11,keyasint,omitempty"`
+	Failures   int           `cbor:"12,keyasint,omitempty"`
+	FailedOn   []uint32      `cbor:"13,keyasint,omitempty"`
+	Progress   float64       `cbor:"14,keyasint,omitempty"`
+	Kept       float64       `cbor:"15,keyasint,omitempty"`
+	Lost       int64         `cbor:"16,keyasint,omitempty"`
+	Cause      string        `cbor:"17,keyasint"`
 }
 
 type countImage struct {
@@ -119,21 +123,28 @@
 	for _, r := range s.Racks {
 		im.Racks = append(im.Racks, rackImage{r.Name, r.Domain.Index})
 	}
+	im.Workers = make([]workerImage, 0, len(s.Workers))
+	im.Jobs = make([]jobImage, 0, len(s.Jobs))
+	jobs := sorted(s.Jobs, func(j *Job) string { return j.ID })
+	index := make(map[*Job]int, len(jobs))
+	for i, j := range jobs {
+		index[j] = i
+	}
 	for _, w := range s.Workers {
 		wi := workerImage{
 			Name: w.Name, Addr: w.Addr, Rack: w.Rack.Index, GPUs: w.GPUs, Cores: w.Cores, Memory: w.Memory,
 			Condition: w.Condition, Revision: w.Revision, Since: w.Since, Gone: w.Gone,
-			Cause: w.Cause, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
+			Cause: w.Cause, Missed: w.Missed, Strikes: w.Strikes, Done: w.Done, Failed: w.Failed, Failures: w.Failures,
 		}
 		for _, t := range w.Tasks {
-			wi.Tasks = append(wi.Tasks, taskImage{t.Job.ID, t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
+			wi.Tasks = append(wi.Tasks, taskImage{index[t.Job], t.Token, t.Mask, t.Phase, t.Grace, t.Boot})
 		}
 		for _, b := range w.Blocks {
 			wi.Blocks = append(wi.Blocks, blockRef{b.Account, b.Promise, b.Copy})
 		}
 		im.Workers = append(im.Workers, wi)
 	}
-	for _, j := range sorted(s.Jobs, func(j *Job) string { return j.ID }) {
+	for _, j := range jobs {
 		im.Jobs = append(im.Jobs, jobImage{
 			Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
@@ -185,18 +196,25 @@
 	if err := s.loadWorkers(im); err != nil {
 		return nil, err
 	}
+	jobs := make([]*Job, 0, len(im.Jobs))
 	for _, j := range im.Jobs {
-		s.Jobs[j.Spec.Job] = &Job{
+		j.Spec.Account, j.Spec.Kind = s.intern(j.Spec.Account), s.intern(j.Spec.Kind)
+		x := &Job{
 			ID: j.Spec.Job, Spec: j.Spec, Phase: j.Phase, Revision: j.Revision, Token: j.Token, Slots: j.Slots,
 			Guaranteed: j.Guaranteed, Pending: j.Pending, Submitted: j.Submitted, Changed: j.Changed,
 			Started: j.Started, Starts: j.Starts, Failures: j.Failures, FailedOn: j.FailedOn,
-			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: j.Cause,
+			Progress: j.Progress, Kept: j.Kept, Lost: j.Lost, Cause: s.intern(j.Cause),
+		}
+		s.Jobs[x.ID] = x
+		jobs = append(jobs, x)
+		if s.starting(x) {
+			s.placedJobs[x] = struct{}{}
 		}
 	}
 	if err := s.loadAccounts(im); err != nil {
 		return nil, err
 	}
-	return s, s.loadTasks(im)
+	return s, s.loadTasks(im, jobs)
 }
 
 func (s *State) loadWorkers(im *Image) error {
@@ -218,7 +236,7 @@
 		w := &Worker{
 			Index: uint32(i), Name: wi.Name, Addr: wi.Addr, Rack: s.Racks[wi.Rack], GPUs: wi.GPUs, Cores: wi.Cores,
 			Memory: wi.Memory, Condition: wi.Condition, Revision: wi.Revision, Since: wi.Since, Gone: wi.Gone,
-			Cause: wi.Cause, Strikes: wi.Strikes, Done: wi.Done, Failed: wi.Failed, Failures: wi.Failures,
+			Cause: wi.Cause, Missed: wi.Missed, Strikes: wi.Strikes, Done: wi.Done, Failed: wi.Failed, Failures: wi.Failures,
 		}
 		s.Workers = append(s.Workers, w)
 		s.workerByName[w.Name] = w
@@ -250,14 +268,14 @@
 	return nil
 }
 
-func (s *State) loadTasks(im *Image) error {
+func (s *State) loadTasks(im *Image, jobs []*Job) error {
 	for i, wi := range im.Workers {
 		w := s.Workers[i]
 		for _, ti := range wi.Tasks {
-			j := s.Jobs[ti.Job]
-			if j == nil {
-				return &ImageError{fmt.Sprintf("task of worker %s has no job %s", w.Name, ti.Job)}
+			if ti.Job < 0 || ti.Job >= len(jobs) {
+				return &ImageError{fmt.Sprintf("task of worker %s has no job %d", w.Name, ti.Job)}
 			}
+			j := jobs[ti.Job]
 			w.Tasks = append(w.Tasks, &Task{Job: j, Token: ti.Token, Mask: ti.Mask, Phase: ti.Phase, Grace: ti.Grace, Boot: ti.Boot})
 		}
 		for _, ref := range wi.Blocks {
--- a/state/place.go
+++ b/state/place.go
@@ -66,6 +66,7 @@
 	j.Guaranteed = guaranteed
 	j.Pending = len(p.Slots)
 	j.Cause = "placed"
+	s.placedJobs[j] = struct{}{}
 	s.touch(j)
 	a.Used += j.Spec.Shape.Total()
 	for _, sl := range p.Slots {
@@ -132,11 +133,7 @@
 		if b.Broken || b.Account == account {
 			continue
 		}
-		for _, sl := range b.Slots {
-			if sl.Worker == w.Index {
-				m |= sl.Mask
-			}
-		}
+		m |= maskOn(b.Slots, w)
 	}
 	return m
 }
