Index racks in buckets and schedule by claims, urgency and share

Ruled out: scanning racks for each decision, because its cost grows with the cluster; learning in the fold, because estimates are policy. Change: placement keeps racks in buckets by how many members of a size they take, counts for the two largest guaranteed shapes, reclaim by lost work and new fragmentation, block plans with bounded backtracking, repair, drains and moves. schedule orders claims, urgent jobs and fair share with ageing, reserves units for jobs that wait long, backfills, learns run times and explains. The fold now calls Touched when a task turns to stopping and when a job becomes guaranteed or borrowed, because both change what is evictable. Faults found by the generated histories and corrected: a gang in two racks was moved twice in one call; a claim evicted a job that a repair in the same round had made guaranteed; a changed account left out blocks whose shape differed. Cost at 12000 workers is not measured yet.

--- /dev/null
+++ b/placement/blocks_test.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// feasible answers by exhaustive search whether the account's promises fit
+// beside the blocks of all other accounts, with its own blocks free to move.
+func feasible(s *state.State, account string, promises []state.Promise) bool {
+	free := make([]int, len(s.Workers))
+	for i, w := range s.Workers {
+		free[i] = blockSpace(w, account, func(b *state.Block) bool { return b.Account == account }).Count()
+	}
+	var shapes []shape.Shape
+	for _, p := range promises {
+		for range p.Count {
+			shapes = append(shapes, p.Shape)
+		}
+	}
+	e := &exhaustive{state: s}
+	return e.fits(free, shapes)
+}
+
+// Guards against a guarantee that is promised although it cannot be kept, and
+// counts how often the bounded search refuses one that could be kept.
+func TestPlanBlocksAgainstExhaustive(t *testing.T) {
+	plans, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t, 12)
+		var promises []state.Promise
+		var bodies []state.GuaranteeBody
+		for i := range rapid.IntRange(1, 3).Draw(t, "promises") {
+			p := state.Promise{Shape: drawShape(t, fmt.Sprint("plan", i)), Count: rapid.IntRange(1, 2).Draw(t, "copies")}
+			promises = append(promises, p)
+			bodies = append(bodies, state.GuaranteeBody{Shape: p.Shape.String(), Count: p.Count})
+		}
+		want := feasible(h.state, "carol", promises)
+		blocks, err := PlanBlocks(h.state, "carol", promises)
+		var no *InfeasibleError
+		switch {
+		case err != nil && !errors.As(err, &no):
+			t.Fatal(err)
+		case err == nil && !want:
+			t.Fatalf("promised %v, which exhaustive search finds unkeepable", promises)
+		case want:
+			plans++
+			if err != nil {
+				refused++
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+		h.must(record.KindPublish, record.Publish{
+			Name: "account/carol", Body: h.json(state.AccountBody{Guarantees: bodies}), Blocks: blocks,
+		})
+		h.check()
+	})
+	t.Logf("refused %d of %d plans that exhaustive search allows", refused, plans)
+}
+
+// Guards against a refusal that does not name the field at fault.
+func TestPlanBlocksNamesGuarantee(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, 2, 4)
+	err := c.account("asha", state.GuaranteeBody{Shape: "1x2@worker", Count: 1}, state.GuaranteeBody{Shape: "2x4@rack", Count: 1})
+	var no *InfeasibleError
+	is.True(errors.As(err, &no))
+	is.Equal(no.Account, "asha")
+	is.True(no.Field == "guarantees[0]" || no.Field == "guarantees[1]")
+}
+
+// Guards against a block that stays on a lost worker while there is room.
+func TestRepairMovesBrokenBlock(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 2, 2, 4)
+	is.NoErr(c.account("asha", state.GuaranteeBody{Shape: "2x4@rack", Count: 1}))
+	b := c.state.Accounts["asha"].Blocks[0]
+	w := c.state.Workers[b.Slots[0].Worker]
+	c.must(record.KindHealth, record.Health{Worker: w.Index, Revision: w.Revision, Condition: record.ConditionLost})
+	is.True(b.Broken)
+	recs := Repair(c.state)
+	is.Equal(len(recs), 1)
+	c.must(record.KindReserve, recs[0])
+	is.True(!b.Broken)
+	c.check()
+	is.Equal(len(Repair(c.state)), 0)
+}
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -3,7 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"testing"
+
+	"pgregory.net/rapid"
 
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/shape"
@@ -12,14 +13,14 @@
 
 // cluster drives a state through the fold, as a log would.
 type cluster struct {
-	t     testing.TB
+	t     rapid.TB
 	state *state.State
 	seq   uint64
 	at    int64
 }
 
 // newCluster builds domains of racks of workers with the given accelerators.
-func newCluster(t testing.TB, domains, racks, workers, gpus int) *cluster {
+func newCluster(t rapid.TB, domains, racks, workers, gpus int) *cluster {
 	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000}
 	for d := range domains {
 		for r := range racks {
--- a/placement/fragment.go
+++ b/placement/fragment.go
@@ -2,16 +2,11 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/state"
 )
 
-func sortSlots(slots []shape.Slot) {
-	slices.SortFunc(slots, func(a, b shape.Slot) int { return cmp.Compare(a.Worker, b.Worker) })
-}
-
 // bigger orders shapes by accelerators, then by what is harder to find: the
 // smaller unit, then the larger member.
 func bigger(a, b shape.Shape) int {
--- a/placement/masks.go
+++ b/placement/masks.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/state"
 )
@@ -53,13 +56,15 @@
 type offer struct {
 	worker *state.Worker
 	mask   shape.Mask
+	cost   float64 // of the work that would be evicted
 }
 
 // fill takes the shape from the offers, those first in the list first, or
-// returns nil if they do not suffice. The offers lie in one unit.
+// returns nil if they do not suffice. The offers lie in one unit and name each
+// worker once.
 func fill(sh shape.Shape, offers []offer) []shape.Slot {
 	need := sh.Members
-	var out []shape.Slot
+	out := make([]shape.Slot, 0, min(need, len(offers)))
 	for _, o := range offers {
 		m := min(need, o.mask.Count()/sh.GPUs)
 		if m == 0 {
@@ -68,9 +73,15 @@
 		out = append(out, shape.Slot{Worker: o.worker.Index, Mask: o.mask.Take(m * sh.GPUs)})
 		need -= m
 		if need == 0 {
-			sortSlots(out)
+			slices.SortFunc(out, func(a, b shape.Slot) int { return cmp.Compare(a.Worker, b.Worker) })
 			return out
 		}
 	}
 	return nil
 }
+
+// tight orders offers by cost, then the fullest workers first, so that whole
+// workers stay free.
+func tight(a, b offer) int {
+	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.mask.Count(), b.mask.Count()), cmp.Compare(a.worker.Index, b.worker.Index))
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,11 +1,7 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
-
 	"jasminelane.example/lane/record"
-	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/state"
 )
 
@@ -13,9 +9,16 @@
 // blocks, with an eviction list if borrowed work holds them, in space outside
 // blocks, or in lent blocks if the job can be evicted. It fails with
 // *NoFitError.
+//
+// A job that fills whole blocks of its account is entitled to evict; it goes
+// outside instead only where the work lost by eviction weighs more than the
+// fragmentation there. A smaller job first uses blocks that already hold
+// guaranteed work and takes whole ones last, so that the account's own small
+// jobs do not keep its guaranteed shapes waiting.
 func (x *Index) Place(j *state.Job, p Policy) (record.Place, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.flush()
 	sh := j.Spec.Shape
 	out := record.Place{Job: j.ID, Revision: j.Revision}
 	a := x.state.Accounts[j.Spec.Account]
@@ -25,66 +28,72 @@
 	if a.Quota > 0 && a.Used+sh.Total() > a.Quota {
 		return out, &NoFitError{j.ID, sh, "quota of the account is in use"}
 	}
-	own := func(w *state.Worker) shape.Mask { return ownMask(w, a.Name) & reclaimable(w) }
-	open := func(w *state.Worker) shape.Mask { return w.Free() &^ w.Reserved() }
-	lent := func(w *state.Worker) shape.Mask { return w.Free() }
-	if j.Spec.Once {
-		lent = func(w *state.Worker) shape.Mask { return w.Free() &^ (w.Reserved() &^ ownMask(w, a.Name)) }
-	}
-	if out.Slots = x.search(j, own); out.Slots != nil {
-		out.Evict = x.evict(out.Slots)
-		if len(out.Evict) > 0 {
-			out.Grace = p.grace(j.Spec.Urgent)
-		}
-		return out, nil
-	}
-	if out.Slots = x.search(j, open); out.Slots != nil {
-		return out, nil
+	c := x.choose(j, a, p)
+	if c.slots == nil {
+		return out, &NoFitError{j.ID, sh, "no " + sh.Level.String() + " has enough adjacent free accelerators"}
 	}
-	if out.Slots = x.search(j, lent); out.Slots != nil {
-		return out, nil
+	out.Slots = c.slots
+	for _, v := range c.victims {
+		out.Evict = append(out.Evict, record.Victim{Job: v.ID, Token: v.Token})
+		out.Grace = p.grace(j.Spec.Urgent)
 	}
-	return out, &NoFitError{j.ID, sh, "no " + sh.Level.String() + " has enough adjacent free accelerators"}
+	return out, nil
 }
 
-// search returns slots for the job in the tightest unit.
-func (x *Index) search(j *state.Job, avail func(*state.Worker) shape.Mask) []shape.Slot {
-	sh := j.Spec.Shape
-	units := map[int][]offer{}
-	members := map[int]int{}
-	for _, w := range x.state.Workers {
-		m := avail(w) &^ x.held[w.Index]
-		if m.Count() < sh.GPUs || !suits(w, j) {
-			continue
+// choose returns the placement of the job, with nil slots if there is none.
+func (x *Index) choose(j *state.Job, a *state.Account, p Policy) choice {
+	own := x.searchOwn(j, a, p)
+	if own.slots != nil && len(own.victims) == 0 && (own.whole || own.shared) {
+		return own
+	}
+	open := x.search(j, tierOpen, spaceAll)
+	switch {
+	case own.slots != nil && own.whole:
+		_, weight := p.weights()
+		if open.slots == nil || own.cost <= weight*open.damage*fragmentHorizon {
+			return own
 		}
-		u := unitOf(sh.Level, w)
-		units[u] = append(units[u], offer{w, m})
-		members[u] += m.Count() / sh.GPUs
+		return open
+	case open.slots != nil:
+		return open
 	}
-	best := -1
-	for u, n := range members {
-		if n >= sh.Members && (best < 0 || n < members[best] || n == members[best] && u < best) {
-			best = u
+	if !j.Spec.Once {
+		if lent := x.search(j, tierFree, spaceLent); lent.slots != nil {
+			return lent
 		}
 	}
-	if best < 0 {
-		return nil
+	if own.slots != nil {
+		return own
+	}
+	// What remains is space partly in own blocks and partly outside them.
+	if j.Spec.Once {
+		return x.search(j, tierFree, spaceOwn)
 	}
-	slices.SortStableFunc(units[best], func(a, b offer) int { return cmp.Compare(a.mask.Count(), b.mask.Count()) })
-	return fill(sh, units[best])
+	return x.search(j, tierFree, spaceAll)
 }
 
-// evict lists the placements that hold the slots.
-func (x *Index) evict(slots []shape.Slot) []record.Victim {
-	var out []record.Victim
-	seen := map[string]bool{}
-	for _, sl := range slots {
-		for _, t := range x.state.Workers[sl.Worker].Tasks {
-			if t.Mask&sl.Mask != 0 && t.Phase != state.TaskStopping && !seen[t.Job.ID] {
-				seen[t.Job.ID] = true
-				out = append(out, record.Victim{Job: t.Job.ID, Token: t.Token})
-			}
+// Claims returns how many jobs like this one its account's blocks could take
+// whole now, by eviction where needed.
+func (x *Index) Claims(j *state.Job) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.flush()
+	a := x.state.Accounts[j.Spec.Account]
+	if a == nil {
+		return 0
+	}
+	exact, whole := 0, 0
+	for _, q := range x.portions(j, a) {
+		if q.shared || q.room != q.block.Shape.Total() {
+			continue
 		}
+		whole += q.room
+		if q.room == j.Spec.Shape.Total() && fill(j.Spec.Shape, q.offers) != nil {
+			exact++
+		}
+	}
+	if exact > 0 || whole < j.Spec.Shape.Total() || !x.searchOwn(j, a, Policy{}).whole {
+		return exact
 	}
-	return out
+	return whole / j.Spec.Shape.Total()
 }
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -22,6 +22,18 @@
 	UrgentGrace   int64   // the same when the evicting job is urgent; default DefaultUrgentGrace
 }
 
+// weights returns the two weights with their defaults.
+func (p Policy) weights() (completion, fragmentation float64) {
+	completion, fragmentation = p.Completion, p.Fragmentation
+	if completion <= 0 {
+		completion = 1
+	}
+	if fragmentation <= 0 {
+		fragmentation = 1
+	}
+	return completion, fragmentation
+}
+
 // grace returns the grace in milliseconds for work that the job evicts.
 func (p Policy) grace(urgent bool) int64 {
 	g, d := p.Grace, int64(DefaultGrace)
--- /dev/null
+++ b/placement/repair.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// Repair returns records that move broken blocks to healthy accelerators
+// outside blocks, at most one for each account because each changes the
+// account's revision. Blocks without room anywhere stay broken.
+func Repair(s *state.State) []record.Reserve {
+	var broken []*state.Block
+	for _, a := range s.Accounts {
+		for _, b := range a.Blocks {
+			if b.Broken {
+				broken = append(broken, b)
+			}
+		}
+	}
+	slices.SortFunc(broken, func(a, b *state.Block) int {
+		return cmp.Or(bigger(a.Shape, b.Shape), cmp.Compare(a.Account, b.Account),
+			cmp.Compare(a.Promise, b.Promise), cmp.Compare(a.Copy, b.Copy))
+	})
+	var out []record.Reserve
+	var taken []shape.Slot
+	done := map[string]bool{}
+	planners := map[string]*planner{}
+	for _, b := range broken {
+		if done[b.Account] {
+			continue
+		}
+		p := planners[b.Account]
+		if p == nil {
+			p = newPlanner(s, b.Account, func(*state.Block) bool { return false })
+			planners[b.Account] = p
+			p.take(taken)
+		}
+		slots := p.near(b)
+		if slots == nil {
+			if o := p.options(b.Shape); len(o) > 0 {
+				slots = o[0]
+			}
+		}
+		if slots == nil {
+			continue
+		}
+		done[b.Account] = true
+		taken = append(taken, slots...)
+		for _, q := range planners {
+			q.take(slots)
+		}
+		out = append(out, record.Reserve{
+			Account: b.Account, Revision: s.Accounts[b.Account].Revision,
+			Block: record.Block{Promise: b.Promise, Copy: b.Copy, Slots: slots},
+		})
+	}
+	return out
+}
+
+// near returns space for the block in its old unit that keeps its remaining
+// accelerators, where guaranteed work may still run, or nil.
+func (p *planner) near(b *state.Block) []shape.Slot {
+	if len(b.Slots) == 0 {
+		return nil
+	}
+	sh := b.Shape
+	unit := unitOf(sh.Level, p.state.Workers[b.Slots[0].Worker])
+	offers := p.offers(sh, unit)
+	old := map[uint32]shape.Mask{}
+	for _, sl := range b.Slots {
+		old[sl.Worker] = sl.Mask
+	}
+	for i, o := range offers {
+		if keep := old[o.worker.Index] & o.mask; keep == old[o.worker.Index] && keep != 0 {
+			offers[i].mask = keep
+			offers[i].cost = -1 // before all others
+		}
+	}
+	slices.SortStableFunc(offers, tight)
+	slots := fill(sh, offers)
+	for i, sl := range slots {
+		if sl.Mask != old[sl.Worker] {
+			slots[i].Mask = cheapest(p.state.Workers[sl.Worker], p.avail[sl.Worker], sl.Mask.Count(), p.state.Now)
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/schedule/cluster_test.go
@@ -0,0 +1,166 @@
+package schedule
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// cluster drives a state through the fold with a simulated clock.
+type cluster struct {
+	t         rapid.TB
+	state     *state.State
+	scheduler *Scheduler
+	seq       uint64
+	at        int64
+	ends      map[string]int64 // run times by job, in milliseconds
+	log       []record.Record  // what the scheduler proposed
+}
+
+func newCluster(t rapid.TB, domains, racks, workers, gpus int) *cluster {
+	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000, ends: map[string]int64{}}
+	for d := range domains {
+		for r := range racks {
+			body := state.RackBody{Domain: fmt.Sprintf("d%d", d)}
+			for w := range workers {
+				body.Workers = append(body.Workers, state.WorkerBody{Name: fmt.Sprintf("d%d-r%d-w%d", d, r, w), GPUs: gpus})
+			}
+			c.must(record.KindPublish, record.Publish{Name: fmt.Sprintf("rack/d%d-r%d", d, r), Body: c.json(body)})
+		}
+	}
+	c.scheduler = &Scheduler{Index: placement.NewIndex(c.state)}
+	return c
+}
+
+func (c *cluster) json(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return data
+}
+
+func (c *cluster) fold(recs ...record.Record) []state.Outcome {
+	c.t.Helper()
+	c.seq++
+	out, err := c.state.Apply(c.state.Offset, &record.Batch{Writer: "test", Seq: c.seq, At: c.at, Records: recs})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return out
+}
+
+func (c *cluster) apply(kind record.Kind, body any) state.Outcome {
+	c.t.Helper()
+	r, err := record.New(kind, "", body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return c.fold(r)[0]
+}
+
+func (c *cluster) must(kind record.Kind, body any) {
+	c.t.Helper()
+	if o := c.apply(kind, body); !o.Accepted() {
+		c.t.Fatalf("%s refused: %s: %s", kind, o.Reason, o.Detail)
+	}
+}
+
+func (c *cluster) account(name string, body state.AccountBody) {
+	c.t.Helper()
+	var promises []state.Promise
+	for _, g := range body.Guarantees {
+		sh, err := shape.Parse(g.Shape)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		promises = append(promises, state.Promise{Shape: sh, Count: g.Count})
+	}
+	blocks, err := placement.PlanBlocks(c.state, name, promises)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.must(record.KindPublish, record.Publish{Name: "account/" + name, Body: c.json(body), Blocks: blocks})
+}
+
+// submit enters a job that will run for the given milliseconds.
+func (c *cluster) submit(id, account, sh string, run int64, change func(*record.Submit)) *state.Job {
+	c.t.Helper()
+	v, err := shape.Parse(sh)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	sub := record.Submit{Job: id, Account: account, Kind: sh, Shape: v, Expect: run}
+	if change != nil {
+		change(&sub)
+	}
+	c.ends[id] = run
+	c.must(record.KindSubmit, sub)
+	return c.state.Jobs[id]
+}
+
+// round applies one round of decisions, each of which has to be accepted, and
+// starts what holds.
+func (c *cluster) round() []record.Record {
+	c.t.Helper()
+	recs := c.scheduler.Decide(c.state, c.at)
+	c.log = append(c.log, recs...)
+	for _, r := range recs {
+		if o := c.fold(r)[0]; !o.Accepted() {
+			c.t.Fatalf("%s %s refused: %s: %s", r.Kind, r.ID, o.Reason, o.Detail)
+		}
+		if err := c.state.Check(); err != nil {
+			c.t.Fatalf("after %s: %v", r.ID, err)
+		}
+	}
+	c.settle()
+	return recs
+}
+
+// settle plays the workers: stopping tasks stop, held gangs start, and jobs
+// whose time is over finish.
+func (c *cluster) settle() {
+	for _, w := range c.state.Workers {
+		var results []record.Result
+		for _, t := range w.Tasks {
+			over := t.Phase == state.TaskRun && c.at-t.Job.Started >= c.ends[t.Job.ID]
+			switch {
+			case t.Phase == state.TaskStopping:
+				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeStopped})
+			case over:
+				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeDone})
+			}
+		}
+		if len(results) > 0 {
+			c.apply(record.KindReport, record.Report{Worker: w.Index, Results: results})
+		}
+	}
+	for _, j := range c.jobs() {
+		if j.Phase == state.JobHolding {
+			c.must(record.KindStart, record.Start{Job: j.ID, Token: j.Token})
+		}
+	}
+}
+
+// jobs returns all jobs by age.
+func (c *cluster) jobs() []*state.Job {
+	return sortedJobs(c.state, func(*state.Job) bool { return true })
+}
+
+func sortedJobs(s *state.State, keep func(*state.Job) bool) []*state.Job {
+	var out []*state.Job
+	for _, j := range s.Jobs {
+		if keep(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, older)
+	return out
+}
--- /dev/null
+++ b/schedule/queue.go
@@ -0,0 +1,161 @@
+package schedule
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// queue yields waiting jobs in the order in which they are tried: claims on
+// guarantees, urgent jobs, then all others by weighted fair share with ageing.
+type queue struct {
+	now      int64
+	ageing   float64
+	capacity float64
+	claims   func(*state.Job) int // how many such jobs a guarantee covers now
+	class    int
+	lines    [classes][]*line // heaps
+	left     map[claimKey]int // of these
+}
+
+// Classes of waiting jobs, first served first.
+const (
+	classClaim = iota
+	classUrgent
+	classShare
+	classes
+)
+
+type claimKey struct {
+	account string
+	shape   shape.Shape
+}
+
+// line is one account's waiting jobs of one class, the oldest first.
+type line struct {
+	account *state.Account
+	jobs    []*state.Job
+	used    int // accelerators, with what this round placed
+	rank    float64
+}
+
+func newQueue(s *state.State, now, ageing int64, waiting []*state.Job, claims func(*state.Job) int) *queue {
+	q := &queue{now: now, ageing: float64(ageing), claims: claims, left: map[claimKey]int{}}
+	for _, w := range s.Workers {
+		if w.Ready() {
+			q.capacity += float64(w.GPUs)
+		}
+	}
+	slices.SortFunc(waiting, older)
+	lines := map[string]*[classes]*line{}
+	for _, j := range waiting {
+		a := s.Accounts[j.Spec.Account]
+		if a == nil {
+			continue
+		}
+		l := lines[a.Name]
+		if l == nil {
+			l = &[classes]*line{}
+			lines[a.Name] = l
+		}
+		c := q.classOf(j, a)
+		if l[c] == nil {
+			l[c] = &line{account: a, used: a.Used}
+			q.lines[c] = append(q.lines[c], l[c])
+		}
+		l[c].jobs = append(l[c].jobs, j)
+	}
+	for c := range q.lines {
+		for _, l := range q.lines[c] {
+			q.rank(l)
+		}
+		heap.Init((*lineHeap)(&q.lines[c]))
+	}
+	return q
+}
+
+func older(a, b *state.Job) int {
+	return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
+}
+
+func (q *queue) classOf(j *state.Job, a *state.Account) int {
+	if len(a.Blocks) > 0 {
+		k := claimKey{a.Name, j.Spec.Shape}
+		n, ok := q.left[k]
+		if !ok {
+			n = q.claims(j)
+		}
+		q.left[k] = max(0, n-1)
+		if n > 0 {
+			return classClaim
+		}
+	}
+	if j.Spec.Urgent {
+		return classUrgent
+	}
+	return classShare
+}
+
+// rank derives the line's position from its account's share of the capacity
+// and the age of its oldest job; the smallest goes first.
+func (q *queue) rank(l *line) {
+	if len(l.jobs) == 0 {
+		return
+	}
+	share := float64(l.used) / max(1, q.capacity) / l.account.Weight
+	l.rank = share - float64(q.now-l.jobs[0].Submitted)/q.ageing
+}
+
+// next returns the next job to try, or nil.
+func (q *queue) next() *state.Job {
+	for ; q.class < classes; q.class++ {
+		h := (*lineHeap)(&q.lines[q.class])
+		if len(*h) == 0 {
+			continue
+		}
+		l := (*h)[0]
+		j := l.jobs[0]
+		l.jobs = l.jobs[1:]
+		if len(l.jobs) == 0 {
+			heap.Pop(h)
+		} else {
+			q.rank(l)
+			heap.Fix(h, 0)
+		}
+		return j
+	}
+	return nil
+}
+
+// placed counts the job's accelerators as used by its account.
+func (q *queue) placed(j *state.Job) {
+	for c := range q.lines {
+		for i, l := range q.lines[c] {
+			if l.account.Name == j.Spec.Account {
+				l.used += j.Spec.Shape.Total()
+				q.rank(l)
+				heap.Fix((*lineHeap)(&q.lines[c]), i)
+				break
+			}
+		}
+	}
+}
+
+// lineHeap orders lines by rank.
+type lineHeap []*line
+
+func (h lineHeap) Len() int { return len(h) }
+func (h lineHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].rank, h[j].rank), cmp.Compare(h[i].account.Name, h[j].account.Name)) < 0
+}
+func (h lineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *lineHeap) Push(x any)   { *h = append(*h, x.(*line)) }
+func (h *lineHeap) Pop() any {
+	old := *h
+	l := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return l
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -1,70 +1,209 @@
 package schedule
 
 import (
-	"cmp"
-	"fmt"
 	"slices"
 
 	"jasminelane.example/lane/placement"
 	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/state"
 )
 
-// DefaultRound is how many records a round proposes at most.
-const DefaultRound = 64
+// Defaults of a Scheduler.
+const (
+	DefaultRound        = 64
+	DefaultTries        = 512
+	DefaultAgeing       = 30 * 60_000
+	DefaultReserveAfter = 2 * 60_000
+	DefaultReservations = 4
+	DefaultMoveEvery    = 30_000
+	DefaultRepairEvery  = 500
+)
 
-// Scheduler turns a state and a time into records to propose. It is not safe
-// for concurrent use.
+// Scheduler turns a state and a time into records to propose. It keeps only
+// estimates between rounds, which it can lose without harm. It is not safe for
+// concurrent use.
 type Scheduler struct {
 	Index  *placement.Index
 	Policy placement.Policy
-	Round  int // records a round at most; default DefaultRound
+
+	Round        int   // records a round at most; default DefaultRound
+	Tries        int   // placements tried a round at most; default DefaultTries
+	Ageing       int64 // milliseconds of waiting that outweigh the use of all capacity; default DefaultAgeing
+	ReserveAfter int64 // milliseconds until a job gets a reservation; default DefaultReserveAfter
+	Reservations int   // reservations at most; default DefaultReservations
+	MoveEvery    int64 // milliseconds between searches for moves; default DefaultMoveEvery
+	RepairEvery  int64 // milliseconds between repairs that found no room; default DefaultRepairEvery
+
+	times    Times
+	seen     uint64         // offset up to which times were learned
+	units    map[string]int // unit reserved for a job, kept over rounds
+	moved    int64          // time of the last search for moves
+	repaired int64          // time of the last repair
+}
+
+func orDefault[T int | int64](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
+
+// round is the work of one call of Decide.
+type round struct {
+	*Scheduler
+	state   *state.State
+	now     int64
+	out     []record.Record
+	held    []shape.Slot // by what is proposed
+	used    map[string]int
+	victims map[string]bool
+	failed  map[need]bool
+	tries   int
+	kept    []reservation
+	unfit   map[unfit]bool
+	overdue bool // overdue reservations were made
+}
+
+// need is what decides whether a job fits; jobs with equal needs fail alike.
+type need struct {
+	account       string
+	shape         shape.Shape
+	once          bool
+	cores, memory float64
+}
+
+func needOf(j *state.Job) need {
+	return need{j.Spec.Account, j.Spec.Shape, j.Spec.Once, j.Spec.Cores, j.Spec.Memory}
+}
+
+// unfit names a need that found no room in a reservation.
+type unfit struct {
+	need        need
+	reservation int
+}
+
+// reservation keeps accelerators for a large job until they are all free.
+type reservation struct {
+	job   string
+	drain placement.Drain
 }
 
 // Decide returns records that the fold accepts if nothing else happens in
-// between; now is in Unix milliseconds.
+// between; now is in Unix milliseconds. Guarantee claims come first, then
+// urgent jobs, then a weighted fair share between accounts with ageing.
 func (c *Scheduler) Decide(s *state.State, now int64) []record.Record {
-	var waiting []*state.Job
+	r := &round{
+		Scheduler: c, state: s, now: now,
+		used: map[string]int{}, victims: map[string]bool{}, failed: map[need]bool{}, unfit: map[unfit]bool{},
+		tries: orDefault(c.Tries, DefaultTries),
+	}
+	waiting := c.scan(s)
+	defer func() { c.Index.Release(r.held) }()
+	r.repair()
+	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), waiting, c.Index.Claims)
+	for j := q.next(); j != nil && !r.full(); j = q.next() {
+		if r.tries <= 0 {
+			break
+		}
+		if q.class > classClaim {
+			r.reserveOverdue()
+		}
+		if r.try(j) {
+			q.placed(j)
+		}
+	}
+	r.forget()
+	for _, k := range r.kept {
+		c.Index.Release(k.drain.Slots)
+	}
+	r.move()
+	return r.out
+}
+
+func (r *round) full() bool { return len(r.out) >= orDefault(r.Round, DefaultRound) }
+
+// scan learns run times from jobs that finished since the last call and
+// returns the waiting jobs in no particular order.
+func (c *Scheduler) scan(s *state.State) []*state.Job {
+	if s.Offset < c.seen { // another state, such as one loaded again
+		c.seen, c.times = 0, Times{}
+	}
+	var waiting, finished []*state.Job
 	for _, j := range s.Jobs {
-		if j.Phase == state.JobWaiting {
+		switch {
+		case j.Phase == state.JobWaiting:
 			waiting = append(waiting, j)
+		case j.Phase == state.JobDone && j.Revision > c.seen:
+			finished = append(finished, j)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *state.Job) int {
-		if a.Spec.Urgent != b.Spec.Urgent {
-			if a.Spec.Urgent {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
-	})
-	limit := c.Round
-	if limit <= 0 {
-		limit = DefaultRound
+	slices.SortFunc(finished, compareRevision)
+	for _, j := range finished {
+		c.times.Learn(j.Spec.Account, j.Spec.Kind, j.Changed-j.Started)
 	}
-	var out []record.Record
-	used := map[string]int{}
-	for _, j := range waiting {
-		if len(out) >= limit {
-			break
-		}
-		a := s.Accounts[j.Spec.Account]
-		if a == nil || a.Quota > 0 && a.Used+used[a.Name]+j.Spec.Shape.Total() > a.Quota {
-			continue
-		}
-		p, err := c.Index.Place(j, c.Policy)
-		if err != nil {
-			continue
+	c.seen = s.Offset
+	return waiting
+}
+
+// add proposes a record.
+func add[T any](r *round, kind record.Kind, id string, body T) bool {
+	rec, err := record.New(kind, id, body)
+	if err != nil {
+		return false
+	}
+	r.out = append(r.out, rec)
+	return true
+}
+
+// hold keeps the accelerators for what was proposed until the round ends.
+func (r *round) hold(slots []shape.Slot) {
+	r.Index.Hold(slots)
+	r.held = append(r.held, slots...)
+}
+
+// try places the job, or reserves a unit for it if it has waited long.
+func (r *round) try(j *state.Job) bool {
+	a := r.state.Accounts[j.Spec.Account]
+	if a == nil || a.Quota > 0 && a.Used+r.used[a.Name]+j.Spec.Shape.Total() > a.Quota {
+		return false
+	}
+	k := slices.IndexFunc(r.kept, func(k reservation) bool { return k.job == j.ID })
+	if k >= 0 { // it may use its own reservation
+		r.tries--
+		return r.placeIn(j, k)
+	}
+	n := needOf(j)
+	known := len(j.FailedOn) == 0
+	if !known || !r.failed[n] {
+		r.tries--
+		if r.place(j) {
+			return true
 		}
-		r, err := record.New(record.KindPlace, fmt.Sprintf("place-%s-%d", j.ID, j.Revision), p)
-		if err != nil {
-			continue
+		if known {
+			r.failed[n] = true
 		}
-		used[a.Name] += j.Spec.Shape.Total()
-		c.Index.Hold(p.Slots)
-		defer c.Index.Release(p.Slots)
-		out = append(out, r)
 	}
-	return out
+	if r.backfill(j) {
+		return true
+	}
+	r.reserve(j)
+	return false
+}
+
+// place proposes to place the job where the index finds room.
+func (r *round) place(j *state.Job) bool {
+	p, err := r.Index.Place(j, r.Policy)
+	if err != nil {
+		return false
+	}
+	for _, v := range p.Evict {
+		r.victims[v.Job] = true
+	}
+	if !add(r, record.KindPlace, placeID(j), p) {
+		return false
+	}
+	r.used[j.Spec.Account] += j.Spec.Shape.Total()
+	r.hold(p.Slots)
+	return true
 }
--- a/state/block.go
+++ b/state/block.go
@@ -196,8 +196,14 @@
 	for _, b := range a.Blocks {
 		for _, sl := range b.Slots {
 			for _, t := range s.Workers[sl.Worker].Tasks {
-				if t.Job.Spec.Account == a.Name && t.Token == t.Job.Token {
-					t.Job.Guaranteed = s.covered(a.Name, t.Job.Slots)
+				if t.Job.Spec.Account != a.Name || t.Token != t.Job.Token {
+					continue
+				}
+				if now := s.covered(a.Name, t.Job.Slots); now != t.Job.Guaranteed {
+					t.Job.Guaranteed = now
+					for _, js := range t.Job.Slots {
+						s.touched(s.Workers[js.Worker])
+					}
 				}
 			}
 		}
--- a/state/job.go
+++ b/state/job.go
@@ -304,6 +304,7 @@
 			continue
 		}
 		t.Phase, t.Grace = TaskStopping, grace
+		s.touched(w)
 	}
 }
 
