Skip the search for claims where no block can be filled

Cause: with 94 accounts and 5000 waiting jobs most of a round went into asking for each account and shape whether a guarantee covers it. Ruled out: caching the answer over rounds, because it changes with each task. Change: a job smaller than every block of its account fills none.

--- a/placement/place.go
+++ b/placement/place.go
@@ -82,6 +82,9 @@
 	if a == nil {
 		return 0
 	}
+	if !fillsBlocks(a, j.Spec.Shape.Total()) {
+		return 0
+	}
 	exact, whole := 0, 0
 	for _, q := range x.portions(j, a) {
 		if q.shared || q.room != q.block.Shape.Total() {
@@ -97,3 +100,14 @@
 	}
 	return whole / j.Spec.Shape.Total()
 }
+
+// fillsBlocks reports whether the accelerators could fill whole blocks of the
+// account.
+func fillsBlocks(a *state.Account, n int) bool {
+	for _, b := range a.Blocks {
+		if n >= b.Shape.Total() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/schedule/bench_test.go
@@ -0,0 +1,87 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// busyCluster is nine tenths full of small jobs, with the given number of jobs
+// waiting and twice as many finished ones still known.
+func busyCluster(b *testing.B, workers, accounts, waiting int) *cluster {
+	b.Helper()
+	rng := rand.New(rand.NewPCG(3, 4))
+	c := newCluster(b, min(32, 1+workers/400), max(1, workers/8/min(32, 1+workers/400)), 8, 8)
+	for a := range accounts {
+		c.account(fmt.Sprintf("a%d", a), state.AccountBody{Guarantees: []state.GuaranteeBody{{Shape: "4x8@rack", Count: max(1, workers/3/accounts/4)}}})
+	}
+	n := 0
+	place := func(w *state.Worker, m shape.Mask) {
+		n++
+		j := c.submit(fmt.Sprintf("f%d", n), fmt.Sprintf("a%d", rng.IntN(accounts)), fmt.Sprintf("1x%d@worker", m.Count()), 3_600_000, func(s *record.Submit) {
+			s.Kind, s.Checkpoint = "fill", rng.IntN(2) == 0
+		})
+		c.at += int64(rng.IntN(50))
+		c.must(record.KindPlace, record.Place{Job: j.ID, Revision: j.Revision, Slots: []shape.Slot{{Worker: w.Index, Mask: m}}})
+		c.must(record.KindStart, record.Start{Job: j.ID, Token: j.Token})
+	}
+	for _, w := range c.state.Workers {
+		for left := w.All(); left != 0; {
+			m := left.Take(min(1<<rng.IntN(4), left.Count()))
+			left &^= m
+			place(w, m)
+		}
+	}
+	done := func() {
+		w := c.state.Workers[rng.IntN(len(c.state.Workers))]
+		if len(w.Tasks) > 0 {
+			t := w.Tasks[rng.IntN(len(w.Tasks))]
+			c.must(record.KindReport, record.Report{Worker: w.Index, Results: []record.Result{{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeDone}}})
+		}
+	}
+	for range 2 * waiting {
+		done()
+		w := c.state.Workers[rng.IntN(len(c.state.Workers))]
+		if m := w.Free(); m != 0 {
+			place(w, m)
+		}
+	}
+	for c.scheduler.Index.Sum().Free*10 < c.scheduler.Index.Sum().Total {
+		done()
+	}
+	shapes := []string{"1x1@worker", "1x8@worker", "4x8@rack", "8x8@rack", "16x4@domain", "64x8@domain", "8x2@rack", "512x1@domain"}
+	for range waiting {
+		n++
+		c.at += int64(rng.IntN(1000))
+		sh := shapes[rng.IntN(len(shapes))]
+		if workers < 64 && len(sh) > len("8x8@rack") {
+			sh = "8x8@rack" // larger shapes do not fit into so few workers
+		}
+		c.submit(fmt.Sprintf("w%d", n), fmt.Sprintf("a%d", rng.IntN(accounts)), sh, 3_600_000, func(s *record.Submit) {
+			s.Kind = fmt.Sprint("kind", rng.IntN(4))
+		})
+	}
+	return c
+}
+
+// BenchmarkDecide measures rounds over a full cluster with waiting jobs; its
+// records are not applied, so every round does the same work.
+func BenchmarkDecide(b *testing.B) {
+	for _, z := range []struct{ workers, accounts, waiting int }{{50, 4, 50}, {1200, 16, 500}, {12000, 94, 5000}} {
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", z.workers, z.waiting), func(b *testing.B) {
+			c := busyCluster(b, z.workers, z.accounts, z.waiting)
+			c.t = b
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				c.at += 100
+				n = len(c.scheduler.Decide(c.state, c.at))
+			}
+			b.ReportMetric(float64(n), "records")
+		})
+	}
+}
