Count claims by blocks of one size instead of pricing them

Cause: asking whether a guarantee covers a job priced the victims of every unit, and blocks of different sizes could hide that some of one size fit. Ruled out: pricing only the first unit, which gives other answers. Change: whole blocks of one size are tried before any mix of blocks, and the count of claims needs no prices.

--- a/placement/place.go
+++ b/placement/place.go
@@ -85,27 +85,28 @@
 	if !fillsBlocks(a, j.Spec.Shape.Total()) {
 		return 0
 	}
-	exact, whole := 0, 0
-	for _, q := range x.portions(j, a) {
-		if q.shared || q.room != q.block.Shape.Total() {
-			continue
-		}
-		whole += q.room
-		if q.room == j.Spec.Shape.Total() && fill(j.Spec.Shape, q.offers) != nil {
-			exact++
+	n, sh := 0, j.Spec.Shape
+	portions := x.portions(j, a)
+	for _, q := range portions {
+		if !q.shared && q.room == q.block.Shape.Total() && q.room == sh.Total() && fill(sh, q.offers) != nil {
+			n++
 		}
 	}
-	if exact > 0 || whole < j.Spec.Shape.Total() || !x.searchOwn(j, a, Policy{}).whole {
-		return exact
+	if n == 0 {
+		eachMultiple(portions, sh, func(group []portion) {
+			if slots, _, _ := x.gather(sh, group); slots != nil {
+				n += len(group) * group[0].room / sh.Total()
+			}
+		})
 	}
-	return whole / j.Spec.Shape.Total()
+	return n
 }
 
 // fillsBlocks reports whether the accelerators could fill whole blocks of the
 // account.
 func fillsBlocks(a *state.Account, n int) bool {
 	for _, b := range a.Blocks {
-		if n >= b.Shape.Total() {
+		if n%b.Shape.Total() == 0 {
 			return true
 		}
 	}
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -73,7 +73,15 @@
 	if best.slots != nil {
 		return best
 	}
-	// Otherwise several blocks of one unit, or a part of one.
+	// Several blocks of one size in one unit.
+	eachMultiple(portions, sh, func(group []portion) {
+		slots, _, _ := x.gather(sh, group[:sh.Total()/group[0].room])
+		keep(slots, true, false)
+	})
+	if best.slots != nil {
+		return best
+	}
+	// Otherwise any blocks of one unit, or a part of one.
 	slices.SortStableFunc(portions, func(a, b portion) int {
 		return cmp.Or(cmp.Compare(a.unit, b.unit), compareShared(a, b), cmp.Compare(a.cost, b.cost))
 	})
@@ -88,6 +96,29 @@
 	return best
 }
 
+// eachMultiple calls f with the portions of each unit that are whole blocks of
+// one size, at least as many as the shape fills; their order is kept.
+func eachMultiple(portions []portion, sh shape.Shape, f func([]portion)) {
+	var groups [][]portion
+	for _, q := range portions {
+		n := q.block.Shape.Total()
+		if q.shared || q.room != n || n >= sh.Total() || sh.Total()%n != 0 {
+			continue
+		}
+		k := slices.IndexFunc(groups, func(g []portion) bool { return g[0].unit == q.unit && g[0].room == q.room })
+		if k < 0 {
+			groups = append(groups, []portion{q})
+			continue
+		}
+		groups[k] = append(groups[k], q)
+	}
+	for _, g := range groups {
+		if len(g)*g[0].room >= sh.Total() {
+			f(g)
+		}
+	}
+}
+
 // maxPortions bounds how many blocks are priced exactly.
 const maxPortions = 8
 
