Follow the jobs of the state instead of scanning them

Cause: a round scanned all known jobs and sorted the waiting ones, which cost the same when nothing had changed. Change: the fold calls Moved for each submission and change of a job's phase; the index keeps the waiting jobs by age and the finished ones for learning.

--- a/placement/exhaustive_test.go
+++ b/placement/exhaustive_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -215,6 +216,9 @@
 		if got, want := h.index.Fragmentation(), Fragmentation(h.state); got != want {
 			t.Fatalf("fragmentation is %v, a scan says %v", got, want)
 		}
+		if got, want := h.index.Waiting(), fresh.Waiting(); !slices.Equal(got, want) {
+			t.Fatalf("%d jobs wait, a new index has %d", len(got), len(want))
+		}
 		for _, old := range h.index.active {
 			again := fresh.table(old.tier, old.gpus)
 			for r := range again.racks {
--- a/placement/index.go
+++ b/placement/index.go
@@ -18,7 +18,7 @@
 // Index holds what placement needs of a state, kept current through
 // state.State.Touched: the free, reserved and evictable accelerators of each
 // worker, rack and failure domain, and racks in buckets by how many members of
-// a size they can take. It is safe for concurrent use as long as the state does
+// a size they can take; and the waiting jobs by age. It is safe for concurrent use as long as the state does
 // not change during a call.
 type Index struct {
 	mu      sync.Mutex
@@ -33,6 +33,7 @@
 	active  []*table
 	goals   []*goal
 	scratch scratch
+	jobs    jobs
 }
 
 // Sum counts accelerators of ready workers.
@@ -72,6 +73,7 @@
 	for _, w := range s.Workers {
 		x.touched(w)
 	}
+	x.followJobs()
 	return x
 }
 
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -161,6 +161,6 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, older)
+	slices.SortFunc(out, placement.Older)
 	return out
 }
--- a/schedule/explain.go
+++ b/schedule/explain.go
@@ -98,13 +98,7 @@
 
 // ahead counts the waiting jobs that are tried before the job.
 func (c *Scheduler) ahead(s *state.State, j *state.Job, now int64) int {
-	var waiting []*state.Job
-	for _, o := range s.Jobs {
-		if o.Phase == state.JobWaiting {
-			waiting = append(waiting, o)
-		}
-	}
-	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), waiting, c.Index.Claims)
+	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), c.Index)
 	order := q.rest()
 	return slices.Index(order, j)
 }
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"container/heap"
-	"slices"
 
+	"jasminelane.example/lane/placement"
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/state"
 )
@@ -15,10 +15,10 @@
 	now      int64
 	ageing   float64
 	capacity float64
-	claims   func(*state.Job) int // how many such jobs a guarantee covers now
+	index    *placement.Index
 	class    int
 	lines    [classes][]*line // heaps
-	left     map[claimKey]int // of these
+	left     map[claimKey]int // such jobs that a guarantee covers now
 }
 
 // Classes of waiting jobs, first served first.
@@ -42,16 +42,11 @@
 	rank    float64
 }
 
-func newQueue(s *state.State, now, ageing int64, waiting []*state.Job, claims func(*state.Job) int) *queue {
-	q := &queue{now: now, ageing: float64(ageing), claims: claims, left: map[claimKey]int{}}
-	for _, w := range s.Workers {
-		if w.Ready() {
-			q.capacity += float64(w.GPUs)
-		}
-	}
-	slices.SortFunc(waiting, older)
+func newQueue(s *state.State, now, ageing int64, x *placement.Index) *queue {
+	q := &queue{now: now, ageing: float64(ageing), index: x, left: map[claimKey]int{}}
+	q.capacity = float64(x.Sum().Total)
 	lines := map[string]*[classes]*line{}
-	for _, j := range waiting {
+	for _, j := range x.Waiting() {
 		a := s.Accounts[j.Spec.Account]
 		if a == nil {
 			continue
@@ -77,16 +72,12 @@
 	return q
 }
 
-func older(a, b *state.Job) int {
-	return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.ID, b.ID))
-}
-
 func (q *queue) classOf(j *state.Job, a *state.Account) int {
 	if len(a.Blocks) > 0 {
 		k := claimKey{a.Name, j.Spec.Shape}
 		n, ok := q.left[k]
 		if !ok {
-			n = q.claims(j)
+			n = q.index.Claims(j)
 		}
 		q.left[k] = max(0, n-1)
 		if n > 0 {
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -69,7 +69,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	slices.SortFunc(jobs, older)
+	slices.SortFunc(jobs, placement.Older)
 	for _, j := range jobs {
 		r.reserve(j)
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -36,7 +36,6 @@
 	RepairEvery  int64 // milliseconds between repairs that found no room; default DefaultRepairEvery
 
 	times    Times
-	seen     uint64         // offset up to which times were learned
 	units    map[string]int // unit reserved for a job, kept over rounds
 	moved    int64          // time of the last search for moves
 	repaired int64          // time of the last repair
@@ -98,10 +97,10 @@
 		used: map[string]int{}, victims: map[string]bool{}, failed: map[need]bool{}, unfit: map[unfit]bool{},
 		tries: orDefault(c.Tries, DefaultTries),
 	}
-	waiting := c.scan(s)
+	c.learn()
 	defer func() { c.Index.Release(r.held) }()
 	r.repair()
-	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), waiting, c.Index.Claims)
+	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), c.Index)
 	for j := q.next(); j != nil && !r.full(); j = q.next() {
 		if r.tries <= 0 {
 			break
@@ -123,27 +122,11 @@
 
 func (r *round) full() bool { return len(r.out) >= orDefault(r.Round, DefaultRound) }
 
-// scan learns run times from jobs that finished since the last call and
-// returns the waiting jobs in no particular order.
-func (c *Scheduler) scan(s *state.State) []*state.Job {
-	if s.Offset < c.seen { // another state, such as one loaded again
-		c.seen, c.times = 0, Times{}
-	}
-	var waiting, finished []*state.Job
-	for _, j := range s.Jobs {
-		switch {
-		case j.Phase == state.JobWaiting:
-			waiting = append(waiting, j)
-		case j.Phase == state.JobDone && j.Revision > c.seen:
-			finished = append(finished, j)
-		}
-	}
-	slices.SortFunc(finished, compareRevision)
-	for _, j := range finished {
+// learn takes over the run times of jobs that finished since the last call.
+func (c *Scheduler) learn() {
+	for _, j := range c.Index.Finished() {
 		c.times.Learn(j.Spec.Account, j.Spec.Kind, j.Changed-j.Started)
 	}
-	c.seen = s.Offset
-	return waiting
 }
 
 // add proposes a record.
--- a/schedule/times.go
+++ b/schedule/times.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"math"
 
 	"jasminelane.example/lane/state"
@@ -86,7 +85,3 @@
 	}
 	return now + (now-j.Started)/2
 }
-
-func compareRevision(a, b *state.Job) int {
-	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID, b.ID))
-}
--- a/state/job.go
+++ b/state/job.go
@@ -44,7 +44,9 @@
 	if len(s.Jobs) >= MaxJobs {
 		return ReasonFull, "jobs"
 	}
-	s.Jobs[v.Job] = &Job{ID: v.Job, Spec: v, Revision: s.token(), Submitted: s.Now, Changed: s.Now, Cause: "submitted"}
+	j := &Job{ID: v.Job, Spec: v, Revision: s.token(), Submitted: s.Now, Changed: s.Now, Cause: "submitted"}
+	s.Jobs[v.Job] = j
+	s.jobMoved(j)
 	return "", ""
 }
 
@@ -267,6 +269,13 @@
 func (s *State) touch(j *Job) {
 	j.Revision = s.token()
 	j.Changed = s.Now
+	s.jobMoved(j)
+}
+
+func (s *State) jobMoved(j *Job) {
+	if s.Moved != nil {
+		s.Moved(j)
+	}
 }
 
 // stopJob takes the job off its accelerators; it waits again when all of its
--- a/state/state.go
+++ b/state/state.go
@@ -41,6 +41,10 @@
 	// size; nil means nobody listens. It must not change the state.
 	Touched func(*Worker)
 
+	// Moved is called after each submission of a job and each change of its phase,
+	// under the same rules.
+	Moved func(*Job)
+
 	workerByName map[string]*Worker
 	lastSweep    int64
 	hash         *xxhash.Digest
