Let failed needs rest when a round runs out of tries

Cause: a round tries a bounded number of placements in order; with more failing needs than tries, jobs behind them were never tried. Ruled out: more tries, which only moves the limit. Change: needs that failed in a round that ran out are left out of the next rounds until one reaches the end of the queue; claims, urgent jobs and reserved jobs are always tried.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -39,6 +39,7 @@
 	units    map[string]int // unit reserved for a job, kept over rounds
 	moved    int64          // time of the last search for moves
 	repaired int64          // time of the last repair
+	resting  map[need]bool  // failed in rounds that ran out of tries
 }
 
 func orDefault[T int | int64](v, d T) T {
@@ -108,10 +109,14 @@
 		if q.class > classClaim {
 			r.reserveOverdue()
 		}
+		if q.class == classShare && r.resting[needOf(j)] && !r.reserved(j) {
+			continue
+		}
 		if r.try(j) {
 			q.placed(j)
 		}
 	}
+	r.rest()
 	r.forget()
 	for _, k := range r.kept {
 		c.Index.Release(k.drain.Slots)
@@ -139,6 +144,27 @@
 	return true
 }
 
+// reserved reports whether the job had a reservation in the last round.
+func (r *round) reserved(j *state.Job) bool {
+	_, ok := r.units[j.ID]
+	return ok
+}
+
+// rest leaves out what failed in the next rounds if this one ran out of tries,
+// so that jobs further back are tried too.
+func (r *round) rest() {
+	if r.tries > 0 {
+		r.resting = nil
+		return
+	}
+	if r.resting == nil {
+		r.resting = map[need]bool{}
+	}
+	for n := range r.failed {
+		r.resting[n] = true
+	}
+}
+
 // hold keeps the accelerators for what was proposed until the round ends.
 func (r *round) hold(slots []shape.Slot) {
 	r.Index.Hold(slots)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -118,6 +118,28 @@
 	is.Equal(len(c.round()), DefaultRound)
 }
 
+// Guards against a job that is never tried because too many others, which do
+// not fit, come before it.
+func TestManyNeedsDoNotBlock(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, 2, 4)
+	c.scheduler.Tries, c.scheduler.ReserveAfter = 8, 1<<40
+	c.account("asha", state.AccountBody{})
+	c.submit("first", "asha", "1x1@worker", 1<<40, nil)
+	c.round()
+	for i := range 40 {
+		name := fmt.Sprintf("x%02d", i)
+		c.account(name, state.AccountBody{})
+		c.submit(name, name, "2x4@rack", 60_000, nil)
+	}
+	c.at++
+	small := c.submit("small", "asha", "1x1@worker", 60_000, nil)
+	for range 8 {
+		c.round()
+	}
+	is.True(small.Started > 0)
+}
+
 // Guards against estimates that follow declared values instead of what jobs
 // of the kind took.
 func TestTimesLearn(t *testing.T) {
