Skip own blocks that cannot hold the job

Cause: in a saturated round most of the time went into the blocks of accounts whose jobs are larger than what their blocks have left. Change: the index keeps how many accelerators of an account's blocks could be taken and does not look at the blocks for a larger job.

--- a/placement/claims.go
+++ b/placement/claims.go
@@ -10,6 +10,7 @@
 type claimCache struct {
 	account *state.Account // replaced when the account is published again
 	counts  map[claimNeed]int
+	room    int // accelerators of the blocks that could be taken; -1 if not counted
 }
 
 // claimNeed is what decides which of its account's blocks a job fills.
@@ -31,11 +32,7 @@
 	if x.heldWorkers > 0 || len(j.FailedOn) > 0 {
 		return x.countClaims(j, a)
 	}
-	c := x.claims[a.Name]
-	if c == nil || c.account != a {
-		c = &claimCache{a, map[claimNeed]int{}}
-		x.claims[a.Name] = c
-	}
+	c := x.claimCache(a)
 	k := claimNeed{j.Spec.Shape, j.Spec.Cores, j.Spec.Memory}
 	n, ok := c.counts[k]
 	if !ok {
@@ -45,6 +42,37 @@
 	return n
 }
 
+func (x *Index) claimCache(a *state.Account) *claimCache {
+	c := x.claims[a.Name]
+	if c == nil || c.account != a {
+		c = &claimCache{a, map[claimNeed]int{}, -1}
+		x.claims[a.Name] = c
+	}
+	return c
+}
+
+// ownRoom returns how many accelerators of the account's blocks could be taken
+// if nothing were on hold.
+func (x *Index) ownRoom(a *state.Account) int {
+	if len(a.Blocks) == 0 {
+		return 0
+	}
+	c := x.claimCache(a)
+	if c.room >= 0 {
+		return c.room
+	}
+	c.room = 0
+	for _, b := range a.Blocks {
+		if b.Broken {
+			continue
+		}
+		for _, sl := range b.Slots {
+			c.room += (sl.Mask & x.nodes[sl.Worker].stoppable).Count()
+		}
+	}
+	return c.room
+}
+
 func (x *Index) countClaims(j *state.Job, a *state.Account) int {
 	n, sh := 0, j.Spec.Shape
 	portions := x.portions(j, a)
--- a/placement/index.go
+++ b/placement/index.go
@@ -56,10 +56,11 @@
 
 // node is what the index knows of one worker.
 type node struct {
-	masks [tiers]shape.Mask
-	held  shape.Mask // promised by Hold
-	sum   Sum
-	dirty bool
+	masks     [tiers]shape.Mask
+	held      shape.Mask // promised by Hold
+	stoppable shape.Mask // see reclaimable
+	sum       Sum
+	dirty     bool
 }
 
 // NewIndex returns an index of the state and registers it as a listener of
@@ -133,10 +134,11 @@
 	n := &x.nodes[w.Index]
 	old := n.masks
 	var sum Sum
-	free, spare := w.Free()&^n.held, reclaimable(w)
-	n.masks = [tiers]shape.Mask{free &^ w.Reserved(), free, spare &^ n.held &^ w.Reserved()}
+	n.stoppable = reclaimable(w)
+	free := w.Free() &^ n.held
+	n.masks = [tiers]shape.Mask{free &^ w.Reserved(), free, n.stoppable &^ n.held &^ w.Reserved()}
 	if w.Ready() {
-		sum = Sum{w.GPUs, free.Count(), w.Reserved().Count(), (spare &^ w.Free()).Count()}
+		sum = Sum{w.GPUs, free.Count(), w.Reserved().Count(), (n.stoppable &^ w.Free()).Count()}
 	}
 	if sum != n.sum {
 		for _, s := range []*Sum{&x.racks[w.Rack.Index], &x.domains[w.Rack.Domain.Index], &x.total} {
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -46,8 +46,11 @@
 // searchOwn returns the least costly slots for the job in its account's own
 // blocks; what holds them is listed as victims.
 func (x *Index) searchOwn(j *state.Job, a *state.Account, p Policy) choice {
-	portions := x.portions(j, a)
 	sh := j.Spec.Shape
+	if x.ownRoom(a) < sh.Total() {
+		return choice{}
+	}
+	portions := x.portions(j, a)
 	var best choice
 	keep := func(slots []shape.Slot, whole, shared bool) {
 		if slots == nil {
@@ -185,7 +188,8 @@
 				out = append(out, portion{block: b, unit: unit})
 			}
 			q := &out[k]
-			m := sl.Mask & reclaimable(w) &^ x.nodes[sl.Worker].held
+			n := &x.nodes[sl.Worker]
+			m := sl.Mask & n.stoppable &^ n.held
 			if m != sl.Mask || !suits(w, j) {
 				q.shared = q.shared || m != sl.Mask
 				if m == 0 || !suits(w, j) {
