Replay traces through the product's decisions

Replay keeps one state.State, which stands for the copies of all instances, applies every record as an entry of its own through the log's codec, runs State.Check after each, and calls Scheduler.Decide when the state changed.

Ruled out: State.Touched as the only sign that a worker has to be told something, because it does not report changes of a task's phase; with it no gang ever ran. The replay compares job revisions instead.

--- /dev/null
+++ b/trace/run.go
@@ -0,0 +1,75 @@
+package trace
+
+import (
+	"time"
+
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/schedule"
+	"jasminelane.example/lane/state"
+)
+
+// Options vary a run. The zero value replays the product as it is.
+type Options struct {
+	// Policy replaces the policy that follows from the trace's weight.
+	Policy *placement.Policy
+
+	// Decider replaces the product's scheduler; it is called for each new
+	// incarnation of the instances.
+	Decider func(s *state.State, p placement.Policy) Decide
+}
+
+// Run replays the trace file through the product and through the naive
+// baseline. The result is complete when the error is nil or *ExpectError,
+// which lists every expectation that failed; other errors are *FileError and
+// *ReplayError.
+func Run(path string, o Options) (Result, error) {
+	t, err := ReadFile(path)
+	if err != nil {
+		return Result{}, err
+	}
+	return Replay(t, o)
+}
+
+// Replay is Run for a trace that was read before.
+func Replay(t *Trace, o Options) (Result, error) {
+	began := time.Now()
+	r, err := runProduct(t, o)
+	if err != nil {
+		return Result{Trace: t.Head.Name, User: t.Head.User}, err
+	}
+	p, n := r.side.measures(), runNaive(t).measures()
+	res := Result{
+		Trace: t.Head.Name, User: t.Head.User, Values: r.values(p, n), Product: p, Naive: n,
+		Late: r.waits.late, Refused: map[string]int{},
+	}
+	for reason, k := range r.log.refused {
+		res.Refused[string(reason)] = k
+	}
+	res.Took = time.Since(began).Milliseconds()
+	if failures := t.check(res.Values, r.side); len(failures) > 0 {
+		return res, &ExpectError{t.Head.Name, failures}
+	}
+	return res, nil
+}
+
+// Policy returns the policy of the trace's user: its weight moves from
+// completion time to fragmentation, and 0.5 weighs both equally.
+func (h Head) Policy() placement.Policy {
+	// A weight of 0 in a policy means the default, so neither becomes 0.
+	const least = 0.01
+	return placement.Policy{Completion: max(least, 2-2*h.Weight), Fragmentation: max(least, 2*h.Weight)}
+}
+
+func (o Options) decider(t *Trace) func(*state.State) Decide {
+	policy := t.Head.Policy()
+	if o.Policy != nil {
+		policy = *o.Policy
+	}
+	return func(s *state.State) Decide {
+		if o.Decider != nil {
+			return o.Decider(s, policy)
+		}
+		c := &schedule.Scheduler{Index: placement.NewIndex(s), Policy: policy}
+		return c.Decide
+	}
+}
--- a/trace/side.go
+++ b/trace/side.go
@@ -44,6 +44,7 @@
 	reasons  map[string]string                  // job to the reason of its refusal
 	fates    map[string]string                  // request to its fate
 	starts   int
+	partial  int   // gangs that started or ran without all of their members
 	gangs    int   // starts with more than one member
 	lost     int64 // work that was done in vain, accelerator milliseconds
 	finished int64
--- /dev/null
+++ b/trace/wait.go
@@ -0,0 +1,138 @@
+package trace
+
+import (
+	"cmp"
+	"slices"
+
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// waits measures how long jobs wait that their account's guarantee entitles to
+// start: whose shape fits into the account's whole blocks on workers that are
+// alive, beside the account's guaranteed work and the entitled jobs before it.
+// Time during which the log is down or every instance is restarting does not
+// count, because no decision can be made then (section 2.5 of the design page).
+type waits struct {
+	r       *replay
+	since   map[string]int64 // entitled job to the available time at which it became so
+	total   map[string]int64 // job to its longest wait
+	late    []string         // jobs that waited longer than lateWait, in order of their end
+	longest int64
+}
+
+// lateWait is the bound of section 1.5 of the design page, in milliseconds.
+const lateWait = 1500
+
+func newWaits(r *replay) *waits {
+	return &waits{r: r, since: map[string]int64{}, total: map[string]int64{}}
+}
+
+// look finds the entitled jobs in the present state.
+func (w *waits) look() {
+	s := w.r.state
+	waiting := map[string][]*state.Job{}
+	for _, j := range w.r.live {
+		sj := s.Jobs[j.ID]
+		if sj == nil || sj.Phase == state.JobHolding {
+			continue
+		}
+		if a := s.Accounts[sj.Spec.Account]; sj.Phase == state.JobWaiting && a != nil && len(a.Blocks) > 0 {
+			waiting[a.Name] = append(waiting[a.Name], sj)
+		} else {
+			delete(w.since, j.ID)
+		}
+	}
+	for name, jobs := range waiting {
+		slices.SortStableFunc(jobs, func(a, b *state.Job) int {
+			if a.Spec.Urgent != b.Spec.Urgent {
+				if a.Spec.Urgent {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a.Submitted, b.Submitted)
+		})
+		a := s.Accounts[name]
+		free := w.free(a)
+		quota := a.Quota - a.Used
+		for _, j := range jobs {
+			given := w.fit(free, j)
+			if given == nil || a.Quota > 0 && quota < j.Spec.Shape.Total() {
+				delete(w.since, j.ID)
+				continue
+			}
+			for i, k := range given {
+				free[i] -= k
+			}
+			quota -= j.Spec.Shape.Total()
+			if _, ok := w.since[j.ID]; !ok {
+				w.since[j.ID] = w.r.log.available()
+			}
+		}
+	}
+}
+
+// free returns the accelerators of the account's whole blocks, by worker, that
+// its own guaranteed work does not hold.
+func (w *waits) free(a *state.Account) []int {
+	masks := make([]shape.Mask, len(w.r.workers))
+	for _, b := range a.Blocks {
+		if b.Broken {
+			continue
+		}
+		for _, sl := range b.Slots {
+			if w.r.workers[sl.Worker].alive {
+				masks[sl.Worker] |= sl.Mask
+			}
+		}
+	}
+	out := make([]int, len(masks))
+	for i, m := range masks {
+		for _, t := range w.r.state.Workers[i].Tasks {
+			if t.Phase != state.TaskStopping && (t.Job.Guaranteed || t.Job.Spec.Once) {
+				m &^= t.Mask
+			}
+		}
+		out[i] = m.Count()
+	}
+	return out
+}
+
+// fit returns what the job takes of the free accelerators, without workers on
+// which it failed.
+func (w *waits) fit(free []int, j *state.Job) map[int]int {
+	if len(j.FailedOn) > 0 {
+		free = slices.Clone(free)
+		for _, i := range j.FailedOn {
+			free[i] = 0
+		}
+	}
+	return w.r.fleet.firstFit(free, j.Spec.Shape)
+}
+
+// started and ended end the wait of a job.
+func (w *waits) started(id string) { w.ended(id) }
+
+func (w *waits) ended(id string) {
+	since, ok := w.since[id]
+	if !ok {
+		return
+	}
+	delete(w.since, id)
+	took := w.r.log.available() - since
+	if took > w.total[id] {
+		w.total[id] = took
+	}
+	if took > lateWait && !slices.Contains(w.late, id) {
+		w.late = append(w.late, id)
+	}
+	w.longest = max(w.longest, took)
+}
+
+// finish ends the waits of what never started.
+func (w *waits) finish() {
+	for _, j := range w.r.live {
+		w.ended(j.ID)
+	}
+}
--- /dev/null
+++ b/trace/worker.go
@@ -0,0 +1,244 @@
+package trace
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// partialLimit is how long some members of a gang may run without the others,
+// in milliseconds, while the loss of a worker is not noticed: a lease, the
+// interval of the keepers, and a start that is given up.
+const partialLimit = lease + lease/3 + holdLimit
+
+// grant names one placement of a job.
+type grant struct {
+	job   string
+	token uint64
+}
+
+// simWorker is a worker in the simplest form: it holds a task when the
+// accelerators are free, runs it for the job's run time, and stops it on
+// request, with a checkpoint if the grace allows.
+type simWorker struct {
+	r       *replay
+	index   int
+	alive   bool
+	failing bool
+	gone    int64 // when it was lost
+	tasks   map[grant]*simTask
+	told    map[grant]bool // absence that was reported
+}
+
+type simTask struct {
+	grant
+	mask     shape.Mask
+	running  bool
+	stopping bool
+	began    int64
+	from     float64 // progress at the start
+	run      int64   // run time left at the start
+	need     int64   // run time of the whole job
+	saves    bool    // can checkpoint
+}
+
+// sync makes the worker do what the state says, as the keeper's message does.
+func (w *simWorker) sync() {
+	if !w.alive || w.r.err != nil {
+		return
+	}
+	want := map[grant]bool{}
+	for _, t := range slices.Clone(w.r.state.Workers[w.index].Tasks) {
+		g := grant{t.Job.ID, t.Token}
+		want[g] = true
+		w.follow(g, t)
+	}
+	for _, g := range w.grants() {
+		if !want[g] && !w.tasks[g].stopping {
+			w.drop(w.tasks[g], 0)
+		}
+	}
+	w.hold()
+}
+
+// grants returns the worker's grants in a fixed order.
+func (w *simWorker) grants() []grant {
+	return slices.SortedFunc(maps.Keys(w.tasks), func(a, b grant) int {
+		return cmp.Or(cmp.Compare(a.token, b.token), cmp.Compare(a.job, b.job))
+	})
+}
+
+// follow applies the wanted phase of one task.
+func (w *simWorker) follow(g grant, t *state.Task) {
+	task := w.tasks[g]
+	switch {
+	case task == nil && t.Phase == state.TaskHold, t.Phase == state.TaskDone:
+	case task == nil:
+		// It never held the grant, or lost it when it was down.
+		w.report(g, record.OutcomeAbsent, 0, 0)
+	case t.Phase == state.TaskRun && !task.running && !task.stopping:
+		w.run(task, t)
+	case t.Phase == state.TaskStopping && !task.stopping:
+		w.stop(task, t.Grace)
+	}
+}
+
+// hold takes the grants whose accelerators no other task uses.
+func (w *simWorker) hold() {
+	for _, t := range w.r.state.Workers[w.index].Tasks {
+		g := grant{t.Job.ID, t.Token}
+		if t.Phase != state.TaskHold || w.tasks[g] != nil {
+			continue
+		}
+		var used shape.Mask
+		for _, o := range w.tasks {
+			used |= o.mask
+		}
+		if used&t.Mask != 0 {
+			continue
+		}
+		w.tasks[g] = &simTask{grant: g, mask: t.Mask}
+		w.r.held(g, w.index)
+	}
+}
+
+func (w *simWorker) run(task *simTask, t *state.Task) {
+	j := w.r.jobs[task.job]
+	task.running, task.began, task.need, task.saves = true, w.r.clock.now, j.Run, j.Checkpoint
+	if j.Checkpoint {
+		task.from = t.Job.Progress
+	}
+	task.run = max(1, int64(float64(j.Run)*(1-task.from)))
+	w.r.members(j, 1)
+	outcome := record.OutcomeDone
+	if j.Outcome == "failed" {
+		outcome = record.OutcomeFailed
+	}
+	w.finishAfter(task, task.run, outcome)
+	if w.failing {
+		w.finishAfter(task, failDelay, record.OutcomeFailed)
+	}
+}
+
+// finishAfter ends the task with the outcome unless it ends before.
+func (w *simWorker) finishAfter(task *simTask, delay int64, outcome record.Outcome) {
+	w.r.clock.after(delay, func() {
+		if w.tasks[task.grant] != task || task.stopping {
+			return
+		}
+		ran := w.r.clock.now - task.began
+		if outcome == record.OutcomeDone {
+			w.remove(task)
+		} else {
+			w.drop(task, 0)
+		}
+		w.report(task.grant, outcome, ran, 0)
+		w.hold()
+	})
+}
+
+// stop ends the task, after a checkpoint if it can make one in time.
+func (w *simWorker) stop(task *simTask, grace int64) {
+	task.stopping = true
+	delay := int64(0)
+	if task.running && task.saves && grace >= saveDelay {
+		delay = saveDelay
+	}
+	w.r.clock.after(delay, func() {
+		if w.tasks[task.grant] != task {
+			return
+		}
+		var progress float64
+		var ran int64
+		if task.running {
+			ran = w.r.clock.now - task.began
+			if delay > 0 {
+				progress = min(1, task.from+float64(ran-delay)/float64(task.need))
+			}
+		}
+		w.drop(task, progress)
+		w.report(task.grant, record.OutcomeStopped, ran, progress)
+		w.hold()
+	})
+}
+
+// drop removes a task and counts the work that its checkpoint does not keep.
+func (w *simWorker) drop(task *simTask, progress float64) {
+	if task.running {
+		lost := w.r.clock.now - task.began
+		if progress > task.from {
+			lost -= int64((progress - task.from) * float64(task.need))
+		}
+		w.r.side.lost += max(0, lost) * int64(task.mask.Count())
+	}
+	w.remove(task)
+}
+
+func (w *simWorker) remove(task *simTask) {
+	delete(w.tasks, task.grant)
+	if task.running {
+		w.r.members(w.r.jobs[task.job], -1)
+	}
+}
+
+func (w *simWorker) report(g grant, outcome record.Outcome, ran int64, progress float64) {
+	if w.told[g] {
+		return
+	}
+	w.told[g] = true
+	w.r.log.propose(w.r.record(record.KindReport, fmt.Sprintf("report-%d-%s-%d", w.index, g.job, g.token), record.Report{
+		Worker:  uint32(w.index),
+		Results: []record.Result{{Job: g.job, Token: g.token, Outcome: outcome, Ran: ran, Progress: progress}},
+	}))
+}
+
+// setAlive loses the worker with all of its tasks, or brings it back empty.
+func (w *simWorker) setAlive(alive bool) {
+	w.alive = alive
+	if alive {
+		w.r.clock.after(syncDelay, w.sync)
+		return
+	}
+	w.gone = w.r.clock.now
+	for _, g := range w.grants() {
+		w.drop(w.tasks[g], 0)
+	}
+	w.r.clock.after(lease, w.keep)
+}
+
+// setFailing makes every task fail that runs or starts from now on.
+func (w *simWorker) setFailing(failing bool) {
+	w.failing = failing
+	for _, g := range w.grants() {
+		if t := w.tasks[g]; failing && t.running {
+			w.finishAfter(t, failDelay, record.OutcomeFailed)
+		}
+	}
+}
+
+// keep proposes the worker's condition as its keeper sees it.
+func (w *simWorker) keep() {
+	sw := w.r.state.Workers[w.index]
+	lost := !w.alive && w.r.clock.now-w.gone >= lease
+	var next record.Condition
+	switch {
+	case lost && sw.Condition != record.ConditionLost:
+		next = record.ConditionLost
+	case w.alive && sw.Condition == record.ConditionLost:
+		next = record.ConditionReady
+	default:
+		return
+	}
+	id := fmt.Sprintf("health-%d-%d-%s", w.index, sw.Revision, next)
+	if slices.ContainsFunc(w.r.log.queue, func(r record.Record) bool { return r.ID == id }) {
+		return
+	}
+	w.r.log.propose(w.r.record(record.KindHealth, id, record.Health{
+		Worker: uint32(w.index), Revision: sw.Revision, Condition: next, Cause: "keeper",
+	}))
+}
