--- a/trace/generate.go
+++ b/trace/generate.go
@@ -7,14 +7,16 @@
 	"slices"
 )
 
-// Lengths of generated traces. A day is compressed twelvefold: hours of
-// running become minutes, so that a day is two hours of simulated time.
+// Times in milliseconds. Jobs run for tens of minutes to hours, as they do
+// today; a day is compressed by leaving out jobs and requests, not by running
+// them faster, because leases, graces and thresholds do not scale with them.
 const (
-	dayLength   = 2 * 60 * 60 * 1000
-	faultLength = 40 * 60 * 1000
-)
+	minute = 60_000
+	hour   = 60 * minute
 
-const minute = 60_000 // milliseconds
+	dayLength   = 24 * hour
+	faultLength = 8 * hour
+)
 
 // scenario is one generated trace: the user whose fleet and workload it has,
 // and what it adds to that user's ordinary load.
@@ -126,6 +128,7 @@
 	most("partial", 0)
 	most("doubles", 0)
 	most("unanswered", 0)
+	most("urgentlost", 0)
 	most("waits", 1500)
 	most("urgentratio", 0.5)
 	most("fragratio", 0.5)
@@ -141,7 +144,7 @@
 // length.
 func (b *builder) ordinary() {
 	u := b.user
-	hours := float64(b.length) / (60 * minute)
+	hours := float64(b.length) / hour
 	for range int(hours * u.smallRate) {
 		b.small(b.time())
 	}
@@ -156,7 +159,7 @@
 	for range int(hours * u.middleRate) {
 		b.middle(b.time())
 	}
-	for at := int64(8 * minute); at < b.length; at += 50 * minute {
+	for at := int64(2 * hour); at < b.length; at += 9 * hour {
 		b.rush(at)
 	}
 }
@@ -232,11 +235,11 @@
 	value  T
 }
 
-// small adds one of the user's small jobs; most run for minutes, a few for a
-// quarter of an hour, which is what scatters them.
+// small adds one of the user's small jobs; most run for less than an hour, a
+// few for hours, which is what scatters them.
 func (b *builder) small(at int64) string {
-	run := 40_000 + int64(b.rand.ExpFloat64()*200_000)
-	return b.smallRun(at, min(run, 20*minute)/1000*1000)
+	run := 8*minute + int64(b.rand.ExpFloat64()*40*minute)
+	return b.smallRun(at, min(run, 4*hour)/1000*1000)
 }
 
 func (b *builder) smallRun(at, run int64) string {
@@ -250,7 +253,7 @@
 // large adds one of the user's long gang jobs.
 func (b *builder) large(at int64) string {
 	u := b.user
-	run := b.between(6*minute, 16*minute)
+	run := b.between(72*minute, 192*minute)
 	return b.job(Job{
 		At: at, Type: u.long, Account: pick(b, u.longAccounts), Shape: pick(b, u.longShapes),
 		Run: run, Declared: b.declared(run), Checkpoint: b.rand.IntN(5) > 0,
--- a/trace/journal.go
+++ b/trace/journal.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
 )
@@ -12,13 +14,14 @@
 // all instances have read it back.
 const appendDelay = 5
 
-// journal stands for the platform's log and for the instance that ranks first,
-// which has one append outstanding at most. Each record is applied as an entry
-// of its own, so that the invariants can be checked after each record.
+// journal stands for the platform's log and for the instances that append to
+// it, with one append outstanding at most. Each record is applied as an entry
+// of its own, so that the invariants can be checked after each record; which
+// instance writes it follows from its id.
 type journal struct {
 	r           *replay
-	writer      string
-	seq         uint64
+	writers     []string // of the present incarnations, by instance
+	seqs        map[string]uint64
 	incarnation int
 	queue       []record.Record // facts that wait for the next append
 	outstanding bool
@@ -37,17 +40,20 @@
 }
 
 func newJournal(r *replay) *journal {
-	return &journal{r: r, retry: true, since: -1, refused: map[state.Reason]int{}}
+	return &journal{r: r, seqs: map[string]uint64{}, retry: true, since: -1, refused: map[state.Reason]int{}}
 }
 
 // join lets a new incarnation of each instance join.
 func (l *journal) join() {
 	l.incarnation++
-	l.seq = 0
-	for i := l.r.trace.Head.Instances - 1; i >= 0; i-- {
-		name := fmt.Sprintf("i%d", i)
-		l.writer, l.seq = fmt.Sprintf("%s-%d", name, l.incarnation), 0
-		l.apply([]record.Record{l.r.record(record.KindJoin, l.writer, record.Join{Name: name, Addr: "127.0.0.1:1", Domain: l.r.fleet.domains[i%len(l.r.fleet.domains)], Version: record.Version})})
+	l.writers, l.seqs = nil, map[string]uint64{}
+	for i := range l.r.trace.Head.Instances {
+		l.writers = append(l.writers, fmt.Sprintf("i%d-%d", i, l.incarnation))
+	}
+	for i, w := range l.writers {
+		domain := l.r.fleet.domains[i%len(l.r.fleet.domains)]
+		body := record.Join{Name: fmt.Sprintf("i%d", i), Addr: "127.0.0.1:1", Domain: domain, Version: record.Version}
+		l.fold([]*record.Batch{l.batch(w, l.r.record(record.KindJoin, w, body))})
 	}
 	l.resume()
 }
@@ -173,22 +179,33 @@
 // apply appends and folds records at once.
 func (l *journal) apply(recs []record.Record) []state.Outcome { return l.fold(l.batches(recs)) }
 
-// batches wraps each record in a batch, through the log's codec.
+// batches wraps each record in a batch of the instance that writes it.
 func (l *journal) batches(recs []record.Record) []*record.Batch {
 	var out []*record.Batch
 	for _, rec := range recs {
-		l.seq++
-		data, err := record.Encode(&record.Batch{Writer: l.writer, Seq: l.seq, At: l.r.now(), Records: []record.Record{rec}})
-		if err != nil {
-			l.r.fail(err)
-			continue
-		}
-		b, err := record.Decode(data)
-		if err != nil {
-			l.r.fail(err)
-			continue
-		}
-		out = append(out, b)
+		out = append(out, l.batch(l.writers[l.writer(rec.ID)], rec))
+	}
+	return out
+}
+
+// writer returns the number of the instance that writes the records of an id.
+func (l *journal) writer(id string) int {
+	return int(xxhash.Sum64String(id) % uint64(len(l.writers)))
+}
+
+// batch passes the record through the log's codec.
+func (l *journal) batch(writer string, rec record.Record) *record.Batch {
+	l.seqs[writer]++
+	b := &record.Batch{Writer: writer, Seq: l.seqs[writer], At: l.r.now(), Records: []record.Record{rec}}
+	data, err := record.Encode(b)
+	if err != nil {
+		l.r.fail(err)
+		return b
+	}
+	out, err := record.Decode(data)
+	if err != nil {
+		l.r.fail(err)
+		return b
 	}
 	return out
 }
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -18,7 +18,7 @@
 // Delays of the simulated platform, in milliseconds.
 const (
 	syncDelay  = 2    // a worker learns of a change to its grants, and its answer arrives
-	tick       = 1000 // the scheduler and the keepers look again although nothing changed
+	tick       = 5000 // the scheduler and the keepers look again although nothing changed; a third of a lease
 	holdLimit  = 2000 // a start whose members do not all hold by then, beyond the grace, is aborted
 	saveDelay  = 400  // a checkpoint takes this long
 	rejoinTime = 1000 // between the end of an outage and the first append; the design's random delay at its longest
@@ -68,7 +68,6 @@
 		trace: t, fleet: f, side: newSide(t), state: &state.State{}, jobs: map[string]*simJob{},
 		touched: map[uint32]bool{}, make: o.decider(t),
 	}
-	r.state.Touched = func(w *state.Worker) { r.touched[w.Index] = true }
 	r.log = newJournal(r)
 	r.waits = newWaits(r)
 	for i := range f.workers {
@@ -76,7 +75,7 @@
 	}
 	r.setup()
 	r.service = newService(r)
-	r.decide = r.make(r.state)
+	r.start()
 	r.schedule()
 	for r.err == nil && r.open > 0 && r.clock.step(t.limit()) {
 		r.side.frag.set(r.clock.now, r.fragmentation())
@@ -241,12 +240,19 @@
 		r.log.stop()
 	} else {
 		r.log.join()
-		r.decide = r.make(r.state)
+		r.start()
 	}
 	r.service.restart(begin)
 	r.log.commit()
 }
 
+// start makes the decisions of a new incarnation; the listeners of the one
+// before are gone.
+func (r *replay) start() {
+	r.state.Touched = func(w *state.Worker) { r.touched[w.Index] = true }
+	r.decide = r.make(r.state)
+}
+
 // folded takes note of one outcome of the fold.
 func (r *replay) folded(rec record.Record, o state.Outcome) {
 	switch rec.Kind {
--- a/trace/request.go
+++ b/trace/request.go
@@ -1,244 +1,405 @@
 package trace
 
 import (
-	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 
 	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/route"
 	"jasminelane.example/lane/state"
 )
 
-// service answers the requests of the product's replay: claims through the
-// log, the queue, the choice of backend server, and callers that send again.
+// Delays and limits of the request path, as package caller has them, in
+// milliseconds.
+const (
+	hopDelay    = 1    // to a backend server, or back
+	pumpEvery   = 10   // waiting requests are looked at although no answer came
+	maxAttempts = 4    // sends or probes for one request
+	joinDelay   = 1000 // after its join before an instance uses its shares
+)
+
+// service takes the requests of the product's replay through package route:
+// shares, choice of server, breakers, queue, shedding and retries, with one
+// table and queue for each instance. Claims go through the log.
 type service struct {
-	r       *replay
-	servers []*backend
-	queue   []*call
-	calls   map[string]*call // by id on the wire
-	outside []*call          // callers that wait for an instance
-	rand    *rand.Rand
-	runs    map[string]int // runs of requests that may run once only
+	r         *replay
+	instances []*instance // empty while every instance is down
+	servers   map[string]*backend
+	names     []string // of services
+	calls     []*call
+	byWire    map[string]*call
+	outside   []*call // callers that wait for an instance
+	next      int     // instance of the next caller
+	rand      *rand.Rand
+	refused   map[string]int // answers that are not done, by reason
 }
 
-// backend is one backend server.
-type backend struct {
-	domain  string
-	slots   int
-	down    bool
-	epoch   int // grows when it is lost
-	running map[*call]bool
+// instance is the request path of one entry instance.
+type instance struct {
+	table   *route.Table
+	queues  map[string]*route.Queue
+	budget  route.Budget
+	pumping bool
+	gone    bool
 }
 
 // call is one request on its way.
 type call struct {
 	Request
 	wire     string // id; starts with its creation time
+	instance *instance
+	attempt  int
+	exclude  []string
+	maybe    bool // an attempt may have run
 	claimed  bool
-	sent     bool
 	answered bool
-	instance int // grows with each restart, to recognize answers to an instance that ended
+	runs     int
+	sent     int64 // to a server, last
+	began    int64 // to run there, last
+	ended    int64
 }
 
 func newService(r *replay) *service {
-	v := &service{r: r, calls: map[string]*call{}, rand: rand.New(rand.NewPCG(r.trace.Head.Seed, 1)), runs: map[string]int{}}
+	v := &service{
+		r: r, servers: map[string]*backend{}, byWire: map[string]*call{}, refused: map[string]int{},
+		rand: rand.New(rand.NewPCG(r.trace.Head.Seed, 1)),
+	}
 	for _, s := range r.trace.Services {
-		for i := range s.Servers {
-			v.servers = append(v.servers, &backend{domain: r.fleet.domains[i%len(r.fleet.domains)], slots: s.Slots, running: map[*call]bool{}})
+		v.names = append(v.names, s.Name)
+		for _, b := range serviceBody(s, r.fleet.domains).Servers {
+			v.servers[b.Addr] = &backend{r: r, domain: b.Domain, slots: b.Slots}
 		}
 	}
 	for _, q := range r.trace.expand() {
 		c := &call{Request: q, wire: fmt.Sprintf("%d-%s", epoch+q.At, q.ID)}
-		v.calls[c.wire] = c
+		v.calls = append(v.calls, c)
+		v.byWire[c.wire] = c
 		r.open++
 		r.clock.at(q.At, func() { v.arrive(c) })
 		if q.Resend > 0 {
 			r.clock.at(q.At+q.Resend, func() { v.resend(c) })
 		}
 	}
+	v.join()
 	return v
 }
 
-// arrive takes a call at an instance.
+// join makes the instances of a new incarnation.
+func (v *service) join() {
+	v.instances = nil
+	for _, writer := range v.r.log.writers {
+		in := &instance{table: &route.Table{Random: v.rand.Float64}, queues: map[string]*route.Queue{}}
+		for _, s := range v.r.trace.Services {
+			body := serviceBody(s, v.r.fleet.domains)
+			in.table.Update(s.Name, &body)
+			in.queues[s.Name] = &route.Queue{}
+		}
+		in.table.SetMembers(writer, v.r.log.writers)
+		v.instances = append(v.instances, in)
+	}
+}
+
+// arrive takes a call at the next instance, as a balancer distributes it.
 func (v *service) arrive(c *call) {
-	if v.r.decide == nil {
+	if len(v.instances) == 0 {
 		v.outside = append(v.outside, c)
 		return
 	}
-	c.instance = v.r.log.epoch
-	if c.Once && !c.claimed {
-		v.r.log.propose(v.r.record(record.KindClaim, c.wire, record.Claim{Request: c.wire, Account: c.Account, Service: c.Service}))
+	if c.Once {
+		v.claim(c)
 		return
 	}
-	v.push(c)
+	c.instance = v.instances[v.next%len(v.instances)]
+	v.next++
+	v.first(c)
+}
+
+// claim proposes the right to run the call once. The instance that writes the
+// record is the claimant.
+func (v *service) claim(c *call) {
+	v.r.log.propose(v.r.record(record.KindClaim, c.wire, record.Claim{Request: c.wire, Account: c.Account, Service: c.Service}))
 }
 
 // resend is the same request again, through another instance; the claim keeps
 // it from running twice.
 func (v *service) resend(c *call) {
-	if c.answered || v.r.decide == nil {
-		return
+	if c.Once && !c.answered && len(v.instances) > 0 {
+		v.claim(c)
 	}
-	v.r.log.propose(v.r.record(record.KindClaim, c.wire, record.Claim{Request: c.wire, Account: c.Account, Service: c.Service}))
 }
 
-// claimed takes the fold's answer to a claim. A refusal means that another
-// claim of the same id came first; its holder answers.
+// claimed takes the fold's answer to a claim. A refusal means that a claim of
+// the same id came first, whose holder answers.
 func (v *service) claimed(wire string, o state.Outcome) {
-	c := v.calls[wire]
-	if !o.Accepted() || c.claimed {
-		return
+	c := v.byWire[wire]
+	switch {
+	case c.claimed || c.answered:
+	case !o.Accepted():
+		v.answer(c, record.FateNotRun, string(o.Reason))
+	case len(v.instances) == 0: // the claimant ended before it could send
+		c.claimed = true
+		v.answer(c, record.FateUnknown, "restart")
+	default:
+		c.claimed = true
+		c.instance = v.instances[v.r.log.writer(wire)]
+		v.first(c)
 	}
-	c.claimed = true
-	c.instance = v.r.log.epoch
-	if v.r.decide == nil {
-		// The claimant ended before it could send.
-		v.answer(c, record.FateUnknown)
+}
+
+func (v *service) first(c *call) {
+	c.instance.budget.Request(v.r.now())
+	v.acquire(c)
+}
+
+// acquire sends the call if a server is free for it, and queues it otherwise.
+func (v *service) acquire(c *call) {
+	in, now := c.instance, v.r.now()
+	q := in.queues[c.Service]
+	if q.Len() == 0 {
+		s, err := in.table.Pick(c.Service, now, c.exclude)
+		if err != nil && len(c.exclude) > 0 {
+			s, err = in.table.Pick(c.Service, now, nil)
+		}
+		if err == nil {
+			v.send(c, s)
+			return
+		}
+	}
+	class, _ := route.ParseClass(c.Class)
+	if err := q.Push(now, &route.Item{Account: c.Account, Class: class, Deadline: epoch + c.due(), Value: c}); err != nil {
+		v.end(c, reason(err))
 		return
 	}
-	v.push(c)
+	v.tick(in)
 }
 
-func (v *service) push(c *call) {
-	v.queue = append(v.queue, c)
-	slices.SortStableFunc(v.queue, func(a, b *call) int {
-		return cmp.Or(cmp.Compare(rank(a.Class), rank(b.Class)), cmp.Compare(a.due(), b.due()))
-	})
-	v.dispatch()
+func reason(err error) string {
+	var e *route.RefusedError
+	if errors.As(err, &e) {
+		return string(e.Reason)
+	}
+	return "error"
 }
 
-func rank(class string) int { return slices.Index([]string{"urgent", "normal", "bulk"}, class) }
-
 // due returns the time of the call's deadline.
 func (c *call) due() int64 {
 	if c.Deadline == 0 {
-		return MaxTime * 10
+		return 10 * MaxTime
 	}
 	return c.At + c.Deadline
 }
 
-func (v *service) dispatch() {
-	for len(v.queue) > 0 && v.r.decide != nil {
-		c := v.queue[0]
-		if v.r.clock.now > c.due() {
-			v.queue = v.queue[1:]
-			v.answer(c, record.FateNotRun)
-			continue
+// tick pumps until nothing waits.
+func (v *service) tick(in *instance) {
+	if in.pumping || in.gone {
+		return
+	}
+	in.pumping = true
+	v.r.clock.after(pumpEvery, func() {
+		in.pumping = false
+		if v.pump(in) {
+			v.tick(in)
 		}
-		s := v.pick()
-		if s == nil {
-			return
+	})
+}
+
+// pump sends waiting calls to free servers and reports whether any still wait.
+func (v *service) pump(in *instance) bool {
+	if in.gone {
+		return false
+	}
+	waiting, now := false, v.r.now()
+	for _, name := range v.names {
+		q := in.queues[name]
+		v.expire(q.Expire(now))
+		for q.Len() > 0 {
+			s, err := in.table.Pick(name, now, nil)
+			if err != nil {
+				break
+			}
+			it, expired := q.Pop(now)
+			v.expire(expired)
+			if it == nil {
+				in.table.Done(s, now, route.Result{Verdict: route.Dropped})
+				break
+			}
+			v.send(it.Value.(*call), s)
 		}
-		v.queue = v.queue[1:]
-		v.send(s, c)
+		waiting = waiting || q.Len() > 0
 	}
+	return waiting
 }
 
-// pick stands in for the choice of backend server: the less loaded of two, or
-// any with a free slot.
-func (v *service) pick() *backend {
-	free := func(s *backend) bool { return !s.down && len(s.running) < s.slots }
-	a, b := v.servers[v.rand.IntN(len(v.servers))], v.servers[v.rand.IntN(len(v.servers))]
-	if len(b.running) < len(a.running) && free(b) || !free(a) {
-		a = b
-	}
-	if free(a) {
-		return a
+func (v *service) expire(items []*route.Item) {
+	for _, it := range items {
+		v.end(it.Value.(*call), string(route.ReasonDeadline))
 	}
-	if k := slices.IndexFunc(v.servers, free); k >= 0 {
-		return v.servers[k]
+}
+
+// send probes the server if need be and sends the call once.
+func (v *service) send(c *call, s *route.Server) {
+	in, b := c.instance, v.servers[s.Addr]
+	c.sent = v.r.clock.now
+	patience := in.table.Patience(s)
+	if in.table.Fresh(s, v.r.now()) {
+		v.deliver(c, s, patience)
+		return
 	}
-	return nil
+	v.r.clock.after(2*hopDelay, func() {
+		if in.gone {
+			return
+		}
+		if b.down {
+			v.failed(c, s, route.ReasonConnect, true)
+			return
+		}
+		in.table.Heard(s, v.r.now(), route.Result{Loaded: true, Busy: b.load()})
+		v.deliver(c, s, patience)
+	})
 }
 
-func (v *service) send(s *backend, c *call) {
-	s.running[c] = true
-	c.sent = true
+func (v *service) deliver(c *call, s *route.Server, patience int64) {
+	in, b, began := c.instance, v.servers[s.Addr], v.r.clock.now
+	settled := false // the table has heard of this attempt
+	v.r.clock.after(hopDelay, func() {
+		if in.gone {
+			return
+		}
+		if b.down {
+			v.failed(c, s, route.ReasonConnect, true)
+			return
+		}
+		if b.full() {
+			settled = true
+			v.failed(c, s, route.ReasonBusy, true)
+			return
+		}
+		c.runs++
+		b.accept(c, func(ok bool) {
+			if in.gone || settled {
+				return
+			}
+			settled = true
+			if !ok {
+				v.failed(c, s, route.ReasonReset, false)
+				return
+			}
+			in.table.Done(s, v.r.now(), route.Result{
+				Verdict: route.Answered, Loaded: true, Busy: b.load(), Took: v.r.clock.now - began,
+			})
+			v.answer(c, record.FateDone, "")
+			v.pump(in)
+		})
+	})
 	if c.Once {
-		v.runs[c.wire]++
+		return // it cannot be sent elsewhere, so it waits as long as it may
 	}
-	epoch, instance := s.epoch, c.instance
-	v.r.clock.after(c.Run, func() {
-		if s.epoch != epoch {
+	v.r.clock.after(patience, func() {
+		if in.gone || settled {
 			return
 		}
-		delete(s.running, c)
-		if c.instance == instance && instance == v.r.log.epoch {
-			v.answer(c, record.FateDone)
-		}
-		v.dispatch()
+		settled = true
+		v.failed(c, s, route.ReasonTimeout, false)
 	})
 }
 
+// failed ends an attempt and tries another server if that is allowed.
+func (v *service) failed(c *call, s *route.Server, why route.Reason, notRun bool) {
+	in := c.instance
+	res := route.Result{Verdict: route.Failed}
+	if why == route.ReasonBusy {
+		res = route.Result{Verdict: route.Refused, Loaded: true, Busy: v.servers[s.Addr].load()}
+	}
+	in.table.Done(s, v.r.now(), res)
+	v.pump(in)
+	c.attempt++
+	c.maybe = c.maybe || !notRun
+	switch {
+	case c.maybe && c.Once, c.attempt >= maxAttempts, v.r.clock.now >= c.due():
+		v.end(c, string(why))
+	case !in.budget.Retry(v.r.now()):
+		v.end(c, string(route.ReasonBudget))
+	default:
+		c.exclude = append(c.exclude, s.Addr)
+		v.r.clock.after(route.Jitter(c.attempt, 10, 200, v.rand.Float64), func() {
+			if !in.gone {
+				v.acquire(c)
+			}
+		})
+	}
+}
+
+// end answers a call that no server answered.
+func (v *service) end(c *call, why string) {
+	if c.maybe {
+		v.answer(c, record.FateUnknown, why)
+		return
+	}
+	v.answer(c, record.FateNotRun, why)
+}
+
 // answer gives the caller its answer, and settles a claim.
-func (v *service) answer(c *call, fate record.Fate) {
+func (v *service) answer(c *call, fate record.Fate, why string) {
 	if c.answered {
 		return
 	}
-	c.answered = true
+	c.answered, c.ended = true, v.r.clock.now
 	v.r.open--
 	v.r.side.answered(c.Request, string(fate), v.r.clock.now)
-	if c.claimed && v.r.decide != nil {
-		v.r.log.propose(v.r.record(record.KindSettle, "settle-"+c.wire, record.Settle{Request: c.wire, Fate: fate}))
+	if fate != record.FateDone {
+		v.refused[c.Type+" "+why]++
+	}
+	if c.claimed && len(v.instances) > 0 {
+		v.r.log.propose(v.r.record(record.KindSettle, c.wire, record.Settle{Request: c.wire, Fate: fate}))
 	}
 }
 
 // domain loses the backend servers of a failure domain, or brings them back.
 func (v *service) domain(name string, begin bool) {
-	for _, s := range v.servers {
-		if s.domain != name {
-			continue
-		}
-		s.down = begin
-		if !begin {
-			continue
-		}
-		s.epoch++
-		for _, c := range v.sorted(s) {
-			delete(s.running, c)
-			if c.Once {
-				v.answer(c, record.FateUnknown)
-			} else {
-				v.push(c)
-			}
+	for _, b := range v.servers {
+		if b.domain == name {
+			b.down = begin
 		}
 	}
-	v.dispatch()
-}
-
-func (v *service) sorted(s *backend) []*call {
-	var out []*call
-	for c := range s.running {
-		out = append(out, c)
+	if !begin {
+		return
+	}
+	for _, s := range v.r.trace.Services {
+		for _, sb := range serviceBody(s, v.r.fleet.domains).Servers {
+			if sb.Domain == name {
+				v.servers[sb.Addr].lose()
+			}
+		}
 	}
-	slices.SortFunc(out, func(a, b *call) int { return cmp.Compare(a.wire, b.wire) })
-	return out
 }
 
 // restart loses what the instances had accepted: callers of repeatable
 // requests send again, the fate of claimed ones is unknown.
 func (v *service) restart(begin bool) {
 	if !begin {
-		again := v.outside
-		v.outside = nil
-		for _, c := range again {
-			v.arrive(c)
-		}
-		v.dispatch()
+		v.join()
+		v.r.clock.after(joinDelay, func() {
+			again := v.outside
+			v.outside = nil
+			for _, c := range again {
+				v.arrive(c)
+			}
+		})
 		return
 	}
-	hurt := v.queue
-	v.queue = nil
-	for _, s := range v.servers {
-		hurt = append(hurt, v.sorted(s)...)
+	for _, in := range v.instances {
+		in.gone = true
 	}
-	for _, c := range hurt {
+	v.instances = nil
+	for _, c := range v.calls {
 		switch {
-		case c.answered:
+		case c.answered || c.instance == nil:
 		case c.claimed:
-			v.answer(c, record.FateUnknown)
-		default:
+			v.answer(c, record.FateUnknown, "restart")
+		case !slices.Contains(v.outside, c):
+			c.instance, c.attempt, c.exclude, c.maybe = nil, 0, nil, false
 			v.outside = append(v.outside, c)
 		}
 	}
--- a/trace/result.go
+++ b/trace/result.go
@@ -17,6 +17,7 @@
 	Naive   Measures           `json:"naive"`
 	Late    []string           `json:"late"`    // jobs whose guarantee wait exceeds the bound
 	Refused map[string]int     `json:"refused"` // records by reason
+	Shed    map[string]int     `json:"shed"`    // requests that were not done, by type and reason
 	Took    int64              `json:"took"`    // real time of the run, milliseconds
 }
 
@@ -169,8 +170,8 @@
 			v["undone"]++
 		}
 	}
-	for _, n := range r.service.runs {
-		if n > 1 {
+	for _, c := range r.service.calls {
+		if c.Once && c.runs > 1 {
 			v["doubles"]++
 		}
 	}
--- a/trace/run.go
+++ b/trace/run.go
@@ -40,7 +40,7 @@
 	p, n := r.side.measures(), runNaive(t).measures()
 	res := Result{
 		Trace: t.Head.Name, User: t.Head.User, Values: r.values(p, n), Product: p, Naive: n,
-		Late: r.waits.late, Refused: map[string]int{},
+		Late: r.waits.late, Refused: map[string]int{}, Shed: r.service.refused,
 	}
 	for reason, k := range r.log.refused {
 		res.Refused[string(reason)] = k
--- a/trace/scenario.go
+++ b/trace/scenario.go
@@ -18,7 +18,7 @@
 	smallShapes   []choice[string]
 	longShapes    []choice[string]
 
-	smallRate, longRate, urgentRate, middleRate float64 // an hour of simulated time
+	smallRate, longRate, urgentRate, middleRate float64 // an hour
 }
 
 var chirakkal = user{
@@ -36,7 +36,7 @@
 	longAccounts:  []choice[string]{{9, "schools"}, {1, "trial"}},
 	smallShapes:   []choice[string]{{12, "1x1@worker"}, {5, "1x2@worker"}, {2, "1x4@worker"}, {1, "2x2@rack"}},
 	longShapes:    []choice[string]{{6, "4x8@rack"}, {2, "6x8@rack"}, {1, "8x8@domain"}, {1, "8x4@rack"}},
-	smallRate:     750, longRate: 20, urgentRate: 200, middleRate: 60,
+	smallRate:     62.5, longRate: 1.7, urgentRate: 20, middleRate: 5,
 }
 
 var sandalwood = user{
@@ -54,20 +54,20 @@
 	longAccounts:  []choice[string]{{9, "survey"}, {1, "house"}},
 	smallShapes:   []choice[string]{{14, "1x1@worker"}, {4, "1x2@worker"}, {1, "1x4@worker"}, {1, "2x2@rack"}},
 	longShapes:    []choice[string]{{6, "4x8@rack"}, {2, "6x8@rack"}, {1, "8x8@rack"}, {1, "12x8@domain"}},
-	smallRate:     650, longRate: 20, urgentRate: 220, middleRate: 60,
+	smallRate:     54, longRate: 1.7, urgentRate: 22, middleRate: 5,
 }
 
 // smallBurst adds 400 small jobs within 20 s.
 func smallBurst(b *builder) {
 	for range 400 {
-		b.smallRun(10*minute+b.rand.Int64N(20_000), b.between(30_000, 120_000))
+		b.smallRun(2*hour+b.rand.Int64N(20_000), b.between(6*minute, 24*minute))
 	}
 }
 
 // largeBurst adds 14 long gang jobs within 10 s.
 func largeBurst(b *builder) {
 	for range 14 {
-		b.large(10*minute + b.rand.Int64N(10_000))
+		b.large(2*hour + b.rand.Int64N(10_000))
 	}
 }
 
@@ -86,7 +86,7 @@
 		}
 	}
 	for range 6 {
-		id := b.job(Job{At: b.time(), Type: "broken", Account: "trial", Shape: "1x2@worker", Run: 5000, Declared: 60_000, Outcome: "failed"})
+		id := b.job(Job{At: b.time(), Type: "broken", Account: "trial", Shape: "1x2@worker", Run: minute, Declared: hour, Outcome: "failed"})
 		b.ends(id, "failed", "")
 	}
 	bad := []struct {
@@ -103,7 +103,7 @@
 		{"40x8@domain", 0, 0, "shops", "quota"},
 	}
 	for _, v := range bad {
-		id := b.job(Job{At: b.time(), Type: "wrong", Account: v.account, Shape: v.shape, Run: minute, Declared: minute, Cores: v.cores, Memory: v.memory})
+		id := b.job(Job{At: b.time(), Type: "wrong", Account: v.account, Shape: v.shape, Run: 10 * minute, Declared: 10 * minute, Cores: v.cores, Memory: v.memory})
 		b.ends(id, "refused", v.reason)
 	}
 }
@@ -111,17 +111,17 @@
 // cancelWave cancels three quarters of a burst, large jobs among it, within
 // 3 s.
 func cancelWave(b *builder) {
-	at := int64(10 * minute)
+	at := int64(2 * hour)
 	var ids []string
 	for range 160 {
-		ids = append(ids, b.smallRun(at+b.rand.Int64N(10_000), b.between(5*minute, 10*minute)))
+		ids = append(ids, b.smallRun(at+b.rand.Int64N(10_000), b.between(60*minute, 120*minute)))
 	}
 	for range 6 {
 		ids = append(ids, b.large(at+b.rand.Int64N(10_000)))
 	}
 	for i, id := range ids {
 		if i%4 > 0 {
-			b.trace.Cancels = append(b.trace.Cancels, Cancel{Kind: "cancel", At: at + 60_000 + b.rand.Int64N(3000), Job: id})
+			b.trace.Cancels = append(b.trace.Cancels, Cancel{Kind: "cancel", At: at + 10*minute + b.rand.Int64N(3000), Job: id})
 			b.ends(id, "cancelled", "")
 		}
 	}
@@ -134,29 +134,29 @@
 // failingWorkers makes every task on three workers fail, and loses two others
 // for a while.
 func failingWorkers(b *builder) {
-	b.fault(FaultFailing, "kochi-r1-w0", 5*minute, 25*minute)
-	b.fault(FaultFailing, "kozhikode-r1-w3", 6*minute, 20*minute)
-	b.fault(FaultFailing, "thrissur-r2-w7", 10*minute, 20*minute)
-	b.fault(FaultWorker, "kochi-r2-w2", 15*minute, 17*minute)
-	b.fault(FaultWorker, "kozhikode-r2-w5", 15*minute, 30*minute)
+	b.fault(FaultFailing, "kochi-r1-w0", hour, 5*hour)
+	b.fault(FaultFailing, "kozhikode-r1-w3", 70*minute, 4*hour)
+	b.fault(FaultFailing, "thrissur-r2-w7", 2*hour, 4*hour)
+	b.fault(FaultWorker, "kochi-r2-w2", 3*hour, 3*hour+2*minute)
+	b.fault(FaultWorker, "kozhikode-r2-w5", 3*hour, 6*hour)
 }
 
 func rackLoss(b *builder) {
-	b.fault(FaultRack, "seeb-r1", 12*minute, 30*minute)
+	b.fault(FaultRack, "seeb-r1", 150*minute, 6*hour)
 }
 
 func domainLoss(b *builder) {
-	b.fault(FaultDomain, "kozhikode", 12*minute, 30*minute)
+	b.fault(FaultDomain, "kozhikode", 150*minute, 6*hour)
 }
 
 // logOutage takes the log away twice, with requests that may run once only
 // and that their callers resend through another instance.
 func logOutage(b *builder) {
-	b.fault(FaultLog, "", 12*minute, 13*minute+30_000)
-	b.fault(FaultLog, "", 25*minute, 25*minute+20_000)
+	b.fault(FaultLog, "", 150*minute, 155*minute)
+	b.fault(FaultLog, "", 5*hour, 5*hour+20_000)
 	for i := range 30 {
 		b.request(Request{
-			At: 12*minute - 2000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
+			At: 150*minute - 2000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
 			Once: true, Run: 2000, Deadline: 20_000, Resend: 3000,
 		})
 	}
@@ -164,11 +164,11 @@
 
 // restart ends every instance twice; new incarnations join 5 s and 10 s later.
 func restart(b *builder) {
-	b.fault(FaultRestart, "", 12*minute, 12*minute+5000)
-	b.fault(FaultRestart, "", 25*minute, 25*minute+10_000)
+	b.fault(FaultRestart, "", 150*minute, 150*minute+5000)
+	b.fault(FaultRestart, "", 5*hour, 5*hour+10_000)
 	for i := range 30 {
 		b.request(Request{
-			At: 12*minute - 3000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
+			At: 150*minute - 3000 + int64(i)*200, Type: b.user.once, Class: "bulk", Account: b.user.onceAccount,
 			Once: true, Run: 2000, Deadline: 20_000, Resend: 6000,
 		})
 	}
--- a/trace/table.go
+++ b/trace/table.go
@@ -41,8 +41,8 @@
 	for _, k := range slices.Sorted(maps.Keys(r.Values)) {
 		parts = append(parts, fmt.Sprintf("%s=%.4g", k, r.Values[k]))
 	}
-	_, err := fmt.Fprintf(w, "%s\njobs %v, naive %v; requests %v, naive %v; refused records %v; %d ms\n",
-		strings.Join(parts, " "), r.Product.Jobs, r.Naive.Jobs, r.Product.Fates, r.Naive.Fates, r.Refused, r.Took)
+	_, err := fmt.Fprintf(w, "%s\njobs %v, naive %v; requests %v, naive %v; refused records %v; requests not done %v; %d ms\n",
+		strings.Join(parts, " "), r.Product.Jobs, r.Naive.Jobs, r.Product.Fates, r.Naive.Fates, r.Refused, r.Shed, r.Took)
 	return err
 }
 
