--- a/placement/index.go
+++ b/placement/index.go
@@ -18,7 +18,7 @@
 // Index holds what placement needs of a state, kept current through
 // state.State.Touched: the free, reserved and evictable accelerators of each
 // worker, rack and failure domain, and racks in buckets by how many members of
-// a size they can take. It is safe for concurrent use as long as the state does
+// a size they can take; and the waiting jobs by age. It is safe for concurrent use as long as the state does
 // not change during a call.
 type Index struct {
 	mu      sync.Mutex
@@ -33,6 +33,10 @@
 	active  []*table
 	goals   []*goal
 	scratch scratch
+	jobs    jobs
+	claims  map[string]*claimCache // by account
+
+	heldWorkers int // workers with accelerators on hold
 }
 
 // Sum counts accelerators of ready workers.
@@ -61,7 +65,7 @@
 // NewIndex returns an index of the state and registers it as a listener of
 // the state's changes, after any earlier listener.
 func NewIndex(s *state.State) *Index {
-	x := &Index{state: s}
+	x := &Index{state: s, claims: map[string]*claimCache{}}
 	earlier := s.Touched
 	s.Touched = func(w *state.Worker) {
 		if earlier != nil {
@@ -72,6 +76,7 @@
 	for _, w := range s.Workers {
 		x.touched(w)
 	}
+	x.followJobs()
 	return x
 }
 
@@ -83,6 +88,9 @@
 	for len(x.nodes) <= int(w.Index) {
 		x.nodes = append(x.nodes, node{})
 	}
+	for _, b := range w.Blocks {
+		delete(x.claims, b.Account)
+	}
 	if n := &x.nodes[w.Index]; !n.dirty {
 		n.dirty = true
 		x.dirty = append(x.dirty, w.Index)
@@ -161,10 +169,20 @@
 
 func (x *Index) setHeld(slots []shape.Slot, on bool) {
 	for _, sl := range slots {
+		n := &x.nodes[sl.Worker]
+		before := n.held
 		if on {
-			x.nodes[sl.Worker].held |= sl.Mask
+			n.held |= sl.Mask
 		} else {
-			x.nodes[sl.Worker].held &^= sl.Mask
+			n.held &^= sl.Mask
+		}
+		switch {
+		case before == n.held:
+			continue
+		case before == 0:
+			x.heldWorkers++
+		case n.held == 0:
+			x.heldWorkers--
 		}
 		x.refresh(x.state.Workers[sl.Worker])
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -71,29 +71,3 @@
 	}
 	return x.search(j, tierFree, spaceAll)
 }
-
-// Claims returns how many jobs like this one its account's blocks could take
-// whole now, by eviction where needed.
-func (x *Index) Claims(j *state.Job) int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.flush()
-	a := x.state.Accounts[j.Spec.Account]
-	if a == nil {
-		return 0
-	}
-	exact, whole := 0, 0
-	for _, q := range x.portions(j, a) {
-		if q.shared || q.room != q.block.Shape.Total() {
-			continue
-		}
-		whole += q.room
-		if q.room == j.Spec.Shape.Total() && fill(j.Spec.Shape, q.offers) != nil {
-			exact++
-		}
-	}
-	if exact > 0 || whole < j.Spec.Shape.Total() || !x.searchOwn(j, a, Policy{}).whole {
-		return exact
-	}
-	return whole / j.Spec.Shape.Total()
-}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -36,10 +36,10 @@
 	RepairEvery  int64 // milliseconds between repairs that found no room; default DefaultRepairEvery
 
 	times    Times
-	seen     uint64         // offset up to which times were learned
 	units    map[string]int // unit reserved for a job, kept over rounds
 	moved    int64          // time of the last search for moves
 	repaired int64          // time of the last repair
+	resting  map[need]bool  // failed in rounds that ran out of tries
 }
 
 func orDefault[T int | int64](v, d T) T {
@@ -98,10 +98,10 @@
 		used: map[string]int{}, victims: map[string]bool{}, failed: map[need]bool{}, unfit: map[unfit]bool{},
 		tries: orDefault(c.Tries, DefaultTries),
 	}
-	waiting := c.scan(s)
+	c.learn()
 	defer func() { c.Index.Release(r.held) }()
 	r.repair()
-	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), waiting, c.Index.Claims)
+	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), c.Index)
 	for j := q.next(); j != nil && !r.full(); j = q.next() {
 		if r.tries <= 0 {
 			break
@@ -109,10 +109,14 @@
 		if q.class > classClaim {
 			r.reserveOverdue()
 		}
+		if q.class == classShare && r.resting[needOf(j)] && !r.reserved(j) {
+			continue
+		}
 		if r.try(j) {
 			q.placed(j)
 		}
 	}
+	r.rest()
 	r.forget()
 	for _, k := range r.kept {
 		c.Index.Release(k.drain.Slots)
@@ -123,27 +127,11 @@
 
 func (r *round) full() bool { return len(r.out) >= orDefault(r.Round, DefaultRound) }
 
-// scan learns run times from jobs that finished since the last call and
-// returns the waiting jobs in no particular order.
-func (c *Scheduler) scan(s *state.State) []*state.Job {
-	if s.Offset < c.seen { // another state, such as one loaded again
-		c.seen, c.times = 0, Times{}
-	}
-	var waiting, finished []*state.Job
-	for _, j := range s.Jobs {
-		switch {
-		case j.Phase == state.JobWaiting:
-			waiting = append(waiting, j)
-		case j.Phase == state.JobDone && j.Revision > c.seen:
-			finished = append(finished, j)
-		}
-	}
-	slices.SortFunc(finished, compareRevision)
-	for _, j := range finished {
+// learn takes over the run times of jobs that finished since the last call.
+func (c *Scheduler) learn() {
+	for _, j := range c.Index.Finished() {
 		c.times.Learn(j.Spec.Account, j.Spec.Kind, j.Changed-j.Started)
 	}
-	c.seen = s.Offset
-	return waiting
 }
 
 // add proposes a record.
@@ -156,6 +144,27 @@
 	return true
 }
 
+// reserved reports whether the job had a reservation in the last round.
+func (r *round) reserved(j *state.Job) bool {
+	_, ok := r.units[j.ID]
+	return ok
+}
+
+// rest leaves out what failed in the next rounds if this one ran out of tries,
+// so that jobs further back are tried too.
+func (r *round) rest() {
+	if r.tries > 0 {
+		r.resting = nil
+		return
+	}
+	if r.resting == nil {
+		r.resting = map[need]bool{}
+	}
+	for n := range r.failed {
+		r.resting[n] = true
+	}
+}
+
 // hold keeps the accelerators for what was proposed until the round ends.
 func (r *round) hold(slots []shape.Slot) {
 	r.Index.Hold(slots)
