--- a/caller/claim.go
+++ b/caller/claim.go
@@ -69,17 +69,19 @@
 
 // hold keeps other requests with the id away from this instance until its fate is
 // recorded. The fold cannot tell an instance's settle of an earlier claim from
-// one of a later claim for the same id, so there must not be two at a time.
+// one of a later claim for the same id, so there must not be two at a time. An
+// id whose settle may reach the log once more stays held until it expires;
+// other instances may claim it.
 func (r *Router) hold(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.active[id] {
+	if until, held := r.active[id]; held && (until == 0 || now() < until) {
 		return false
 	}
 	if r.active == nil {
-		r.active = map[string]bool{}
+		r.active = map[string]int64{}
 	}
-	r.active[id] = true
+	r.active[id] = 0
 	return true
 }
 
@@ -172,11 +174,12 @@
 	fate   record.Fate
 	detail string
 	done   chan struct{} // closed when it is recorded or can never be
+	lost   bool          // an earlier proposal of it may still reach the log
 }
 
 // settle records the fate in the background and releases the id afterwards.
 func (r *Router) settle(id string, fate record.Fate, detail string) <-chan struct{} {
-	e := &settlement{id, fate, detail, make(chan struct{})}
+	e := &settlement{id: id, fate: fate, detail: detail, done: make(chan struct{})}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.settles = append(r.settles, e)
@@ -204,6 +207,11 @@
 		if err := r.proposeFates(batch); err != nil {
 			r.logger().Warn("settle", zap.Int("fates", n), zap.Error(err))
 			r.count("retry", route.ReasonLogDown)
+			if r.NotAppended == nil || !r.NotAppended(err) {
+				for _, e := range batch {
+					e.lost = true
+				}
+			}
 			if r.giveUp() {
 				return
 			}
@@ -214,7 +222,11 @@
 		attempt = 1
 		r.mu.Lock()
 		for _, e := range batch {
-			delete(r.active, e.id)
+			if e.lost {
+				r.active[e.id] = now() + state.ClaimRetention
+			} else {
+				delete(r.active, e.id)
+			}
 			close(e.done)
 		}
 		r.settles = r.settles[n:]
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -113,3 +113,34 @@
 	is.Equal(b.Do(context.Background(), other).Reason, route.ReasonExists)
 	is.Equal(b.Do(context.Background(), request("1-old", false, 5*time.Second)).Reason, route.ReasonExpired)
 }
+
+// A settle whose answer was lost may reach the log after a later claim of the
+// same instance for the same id. It must not free that claim, or another
+// instance would run the request again.
+func TestLateSettle(t *testing.T) {
+	is := is.New(t)
+	k := newBench(t, 1, &standin.Backends{})
+	a, _ := k.router("i1")
+	b, _ := k.router("i2")
+	var held []record.Record
+	propose := a.Propose
+	a.Propose = func(ctx context.Context, recs ...record.Record) ([]state.Outcome, error) {
+		if recs[0].Kind == record.KindSettle && held == nil {
+			held = recs
+			return nil, errLost
+		}
+		return propose(ctx, recs...)
+	}
+	s := k.backends.Servers()[0]
+	s.SetFault(standin.BackendRefuse)
+	id := onceID()
+	got := a.Do(context.Background(), request(id, false, 2*time.Second))
+	is.Equal(got.Fate, record.FateNotRun)
+	k.awaitFate(id, record.FateNotRun)
+	s.SetFault(standin.BackendFine)
+	a.Do(context.Background(), request(id, false, 2*time.Second))
+	_, err := propose(context.Background(), held...) // the lost one arrives
+	is.NoErr(err)
+	b.Do(context.Background(), request(id, false, 2*time.Second))
+	is.Equal(k.backends.Executions()[id], 1)
+}
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -143,6 +143,13 @@
 // router joins a new instance and returns its router, which runs until the
 // test ends.
 func (k *bench) router(name string) (*Router, *backend.Client) {
+	k.t.Helper()
+	return k.routerAfter(name, -1)
+}
+
+// routerAfter is router with the time from the join to the first use of the
+// shares.
+func (k *bench) routerAfter(name string, delay time.Duration) (*Router, *backend.Client) {
 	k.t.Helper()
 	k.log.must(k.t, name, record.KindJoin, record.Join{Name: name, Version: record.Version})
 	table := &route.Table{}
@@ -156,7 +163,7 @@
 			return k.log.propose(name, recs...)
 		},
 		NotAppended: func(err error) bool { return errors.Is(err, errDown) },
-		Send:        client.Do, Probe: client.Probe, Trim: client.Trim, JoinDelay: -1,
+		Send:        client.Do, Probe: client.Probe, Trim: client.Trim, JoinDelay: delay,
 	}
 	r.feed()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/caller/feed.go
+++ b/caller/feed.go
@@ -87,9 +87,25 @@
 	if r.Trim != nil {
 		r.Trim()
 	}
+	r.releaseExpired()
 	r.pump()
 }
 
+// releaseExpired forgets ids that no instance may claim any more.
+func (r *Router) releaseExpired() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now() < r.sweep {
+		return
+	}
+	r.sweep = now() + 60_000
+	for id, until := range r.active {
+		if until != 0 && until <= r.sweep-60_000 {
+			delete(r.active, id)
+		}
+	}
+}
+
 // usable returns the members for the shares: none until the own join has been
 // in the log for JoinDelay, in which the others reduce theirs.
 func (r *Router) usable(member bool, members []string) []string {
--- a/caller/router.go
+++ b/caller/router.go
@@ -46,10 +46,11 @@
 	draining bool
 	inflight int
 	settling int
-	quiet    chan struct{} // closed when a drain has nothing left
-	drained  bool          // the shares are given up
-	closed   bool          // fates that cannot be recorded are given up
-	active   map[string]bool
+	quiet    chan struct{}    // closed when a drain has nothing left
+	drained  bool             // the shares are given up
+	closed   bool             // fates that cannot be recorded are given up
+	active   map[string]int64 // ids held: 0 until their fate is recorded, or a time until which they stay held
+	sweep    int64            // when expired ids are next forgotten
 	settles  []*settlement
 	settler  bool
 
--- a/route/table.go
+++ b/route/table.go
@@ -304,12 +304,13 @@
 
 // Fresh reports whether a picked server may get the request at once. It must
 // be probed first when it was not heard for FreshFor, so that it cannot have
-// been leaving for longer, and when the request tests it after a failure, so
-// that a server that is still down costs the request only a probe.
+// been leaving for longer, when it was marked as leaving since it was picked,
+// and when the request tests it after a failure, so that a server that is
+// still down costs the request only a probe.
 func (t *Table) Fresh(s *Server, now int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !s.breaker.trial && s.heard != 0 && now-s.heard < orDefault(t.FreshFor, 2000)
+	return !s.breaker.trial && !t.leaving(s, now) && s.heard != 0 && now-s.heard < orDefault(t.FreshFor, 2000)
 }
 
 // Patience returns how long a repeatable request waits for the server's
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -103,6 +103,7 @@
 	table.Done(s, 9, Result{Loaded: true, Busy: 2, Leaving: true}) //
 	_, err := table.Pick("badges", 10, nil)                        //
 	is.Equal(reason(err), ReasonServer)                            // leaving
+	is.True(!table.Fresh(s, 10))                                   // nor may what was picked before be sent
 }
 
 // A server that is slower for the same load must get less; with equal servers
