--- a/cli/play.go
+++ b/cli/play.go
@@ -9,6 +9,8 @@
 
 	"jasminelane.example/lane/demo"
 	"jasminelane.example/lane/entry"
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/trace"
 )
 
 // defaultInputs are the demo's inputs, as seen from the repository's root.
@@ -50,4 +52,46 @@
 	return nil
 }
 
-func runReplay(_ *Tool, f *flags) error { return f.parse(-1) }
+func runReplay(t *Tool, f *flags) error {
+	plot := f.String("plot", "", "also write plots as PNG files to this directory")
+	completion := f.Float64("completion", -1, "weight of completion time; default from the trace")
+	fragmentation := f.Float64("fragmentation", -1, "weight of fragmentation; default from the trace")
+	if err := f.parse(-1); err != nil {
+		return err
+	}
+	if len(f.args) == 0 {
+		return &UsageError{"replay wants at least one trace file"}
+	}
+	var o trace.Options
+	switch {
+	case *completion >= 0 && *fragmentation >= 0:
+		o.Policy = &placement.Policy{Completion: *completion, Fragmentation: *fragmentation}
+	case *completion >= 0 || *fragmentation >= 0:
+		return &UsageError{"-completion and -fragmentation go together"}
+	}
+	var failed error
+	for _, path := range f.args {
+		r, err := trace.Run(path, o)
+		var expect *trace.ExpectError
+		if err != nil && !errors.As(err, &expect) {
+			return err
+		}
+		failed = errors.Join(failed, err)
+		show := r.WriteTable
+		if f.output == "json" {
+			show = r.WriteJSON
+		}
+		if err := show(t.Out); err != nil {
+			return err
+		}
+		if *plot != "" {
+			if err := r.Plot(*plot); err != nil {
+				return err
+			}
+		}
+	}
+	if failed != nil {
+		return &exitError{ExitExpectation, failed}
+	}
+	return nil
+}
