--- a/placement/blocks_test.go
+++ b/placement/blocks_test.go
@@ -96,3 +96,41 @@
 	c.check()
 	is.Equal(len(Repair(c.state)), 0)
 }
+
+// Guards against the same as TestPlanBlocksAgainstExhaustive where guarantees
+// take most of the cluster, which is where a greedy search goes wrong.
+func TestPlanBlocksTight(t *testing.T) {
+	plans, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.IntRange(1, 2).Draw(t, "domains"), rapid.IntRange(1, 2).Draw(t, "racks"),
+			rapid.IntRange(1, 2).Draw(t, "workers"), rapid.IntRange(3, 6).Draw(t, "gpus"))
+		total := 0
+		for _, w := range c.state.Workers {
+			total += w.GPUs
+		}
+		var promises []state.Promise
+		left := total
+		for i := 0; i < 7 && left > total/8; i++ {
+			sh := shape.Shape{
+				Members: rapid.IntRange(1, 3).Draw(t, "members"), GPUs: rapid.IntRange(1, 4).Draw(t, "gpus"),
+				Level: shape.Level(rapid.IntRange(0, 2).Draw(t, "level")),
+			}
+			if sh.Total() <= left {
+				promises = append(promises, state.Promise{Shape: sh, Count: 1})
+				left -= sh.Total()
+			}
+		}
+		want := feasible(c.state, "carol", promises)
+		_, err := PlanBlocks(c.state, "carol", promises)
+		if err == nil && !want {
+			t.Fatalf("promised %v, which exhaustive search finds unkeepable", promises)
+		}
+		if want {
+			plans++
+			if err != nil {
+				refused++
+			}
+		}
+	})
+	t.Logf("refused %d of %d plans that exhaustive search allows", refused, plans)
+}
