--- a/entry/instance.go
+++ b/entry/instance.go
@@ -108,7 +108,7 @@
 	}
 	policy := placement.Policy{Completion: set.Policy.Completion, Fragmentation: set.Policy.Fragmentation}
 	n.replica = &replica.Replica{
-		Log: log, Writer: n.Writer, Logger: n.Logger, Retention: set.Times.Retention,
+		Log: log, Writer: n.Writer, Logger: n.Logger, Retention: set.Times.Retention, SnapshotRecords: set.Limits.Snapshot,
 		Join: record.Join{Name: set.Instance.Name, Addr: n.Peers.Addr().String(), Domain: set.Instance.Domain, Version: record.Version},
 		OnLoad: func(s *state.State) {
 			n.noteMembers(s)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -195,6 +195,7 @@
 		number("limits", "body", &s.Limits.Body, 1<<10, 64<<20),
 		number("limits", "connections", &s.Limits.Connections, 1, 100_000),
 		number("limits", "requests", &s.Limits.Requests, 1, 100_000),
+		number("limits", "snapshot", &s.Limits.Snapshot, 10, 10_000_000),
 		period("times", "read", &s.Times.Read, 100*time.Millisecond, time.Minute),
 		period("times", "idle", &s.Times.Idle, time.Second, time.Hour),
 		period("times", "lease", &s.Times.Lease, time.Second, 10*time.Minute),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	Body        int // bytes of a request body
 	Connections int // open connections for each listener
 	Requests    int // requests in flight for each account
+	Snapshot    int // log records between two snapshots
 }
 
 // Times are the instance's intervals.
@@ -67,7 +68,7 @@
 // Default returns the settings before a file is read.
 func Default() Settings {
 	return Settings{
-		Limits: Limits{Header: 16 << 10, Body: 1 << 20, Connections: 1000, Requests: 200},
+		Limits: Limits{Header: 16 << 10, Body: 1 << 20, Connections: 1000, Requests: 200, Snapshot: 20_000},
 		Times: Times{
 			Read: 10 * time.Second, Idle: time.Minute, Lease: 15 * time.Second, Sync: 5 * time.Second,
 			Round: time.Second, Balancer: 3 * time.Second, Drain: 30 * time.Second, Retention: 6 * time.Hour,
