Test jobs and requests with real processes under faults

Cause: gangs, at-most-once requests and shutdown must hold under kills, freezes and outages of the log.

Change: e2e tests for a kill at seven steps of a gang start, urgent reclaim of lent accelerators, log outage, frozen worker and instance, cancel against start, non-repeatable requests, matching of answers, graceful shutdown, leaving server.

--- /dev/null
+++ b/e2e/job_test.go
@@ -0,0 +1,247 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/caller"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/worker"
+)
+
+// submit enters a job through any live instance until its fate is known.
+func (c *cluster) submit(account string, b caller.JobBody) caller.Reply {
+	c.t.Helper()
+	var r caller.Reply
+	c.eventually(15*time.Second, "submission of "+b.Job+" is not settled", func() bool {
+		for _, p := range c.live() {
+			var err error
+			if r, err = p.caller(account).Submit(c.t.Context(), b); err == nil && r.Fate != record.FateUnknown && r.Reason != "logdown" {
+				return true
+			}
+		}
+		return false
+	})
+	return r
+}
+
+// phase returns the job's phase as any instance that answers knows it.
+func (c *cluster) phase(account, job string) string {
+	for _, p := range c.live() {
+		r, err := p.caller(account).Job(c.t.Context(), job, 0)
+		if err == nil && r.Job != nil {
+			return r.Job.Phase
+		}
+	}
+	return ""
+}
+
+func (c *cluster) awaitPhase(limit time.Duration, account, job, want string) {
+	c.t.Helper()
+	got := ""
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("job %s: %s", job, got)
+		}
+	}()
+	c.eventually(limit, "job "+job+" is not "+want, func() bool {
+		got = c.phase(account, job)
+		return got == want
+	})
+}
+
+// ran returns how often the job began to run on any worker, by the stand-ins'
+// audit trail.
+func (c *cluster) ran(job string) int {
+	tokens := map[uint64]bool{}
+	for _, e := range c.workers.Audit() {
+		if e.What == "run" && e.Job == job {
+			tokens[e.Token] = true
+		}
+	}
+	return len(tokens)
+}
+
+// Guards against partial gangs, lost jobs and repeated starts when an instance
+// is killed at any step of a gang start. The kills come at delays that sweep
+// over the whole start.
+func TestKillDuringGangStart(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(4, 0)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return 200 * time.Millisecond }
+	var jobs []string
+	for i, delay := range []time.Duration{0, time.Millisecond, 2 * time.Millisecond, 4 * time.Millisecond, 7 * time.Millisecond, 12 * time.Millisecond, 20 * time.Millisecond} {
+		for k, once := range []bool{false, true} {
+			id := fmt.Sprintf("gang-%d-%d", i, k)
+			jobs = append(jobs, id)
+			r := c.submit("ben", caller.JobBody{Job: id, Kind: "sheet", Shape: "2x8@rack", Once: once})
+			is.Equal(r.Fate, record.FateDone)
+		}
+		time.Sleep(delay) // the step at which the kill comes
+		c.kill(c.live()[i%3])
+		c.add(fmt.Sprintf("k%d", i))
+	}
+	for _, id := range jobs {
+		c.awaitPhase(60*time.Second, "ben", id, "done")
+		is.Equal(c.ran(id), 1) // nothing was taken away from them
+	}
+	c.checkWorkers()
+	c.awaitSame(10 * time.Second)
+}
+
+// Guards against an urgent guaranteed gang that waits for work which borrowed
+// its accelerators, also when the borrower does not write its checkpoint.
+func TestUrgentReclaim(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.workers.Checkpoint = time.Hour // the borrower never finishes its checkpoint
+	c.fleet(2, 0)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return time.Minute }
+	for i := range 32 {
+		r := c.submit("ben", caller.JobBody{Job: fmt.Sprintf("proof-%d", i), Kind: "proof", Shape: "1x1@worker", Checkpoint: true})
+		is.Equal(r.Fate, record.FateDone)
+	}
+	for i := range 32 {
+		c.awaitPhase(20*time.Second, "ben", fmt.Sprintf("proof-%d", i), "running")
+	}
+	begin := time.Now()
+	r := c.submit("asha", caller.JobBody{Job: "urgent", Kind: "sheet", Shape: "2x8@rack", Urgent: true})
+	is.Equal(r.Fate, record.FateDone)
+	c.awaitPhase(5*time.Second, "asha", "urgent", "running")
+	took := time.Since(begin)
+	t.Logf("urgent gang of 16 running after %s on a cluster lent out in full", took)
+	is.True(took < 1500*time.Millisecond) // the stated target
+	c.checkWorkers()
+}
+
+// Guards against running work that stops, requests that run without a claim,
+// and a wrong fate while the log is down, and against a stalled system after
+// its return.
+func TestLogOutage(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(2, 4)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return 8 * time.Second }
+	is.Equal(c.submit("asha", caller.JobBody{Job: "long", Kind: "sheet", Shape: "2x8@rack"}).Fate, record.FateDone)
+	c.awaitPhase(5*time.Second, "asha", "long", "running")
+
+	yes, no := true, false
+	c.log.Fault(standin.LogFault{Down: &yes})
+	begin := time.Now()
+	for i, p := range c.live() {
+		r, err := p.caller("asha").Request(t.Context(), call(fmt.Sprintf("%d-check%d", begin.UnixMilli(), i), false, 5*time.Second))
+		is.NoErr(err)
+		is.Equal(r.Fate, record.FateDone) // idempotent requests need no log
+		r, err = p.caller("asha").Request(t.Context(), call(fmt.Sprintf("%d-print%d", begin.UnixMilli(), i), true, time.Second))
+		is.NoErr(err)
+		is.Equal(r.Fate, record.FateNotRun)
+	}
+	// Longer than the workers' lease of 3 s, which must be renewed all the time.
+	c.eventually(6*time.Second, "outage shorter than the lease", func() bool { return time.Since(begin) > 4*time.Second })
+	for _, p := range c.live() {
+		is.True(p.ready())
+	}
+	c.log.Fault(standin.LogFault{Down: &no})
+	c.awaitPhase(15*time.Second, "asha", "long", "done")
+	is.Equal(c.ran("long"), 1)
+	for id := range c.backends.Executions() {
+		is.True(id[len(id)-6:len(id)-1] != "print") // nothing that was refused as not run has run
+	}
+	r, err := c.live()[1].caller("asha").Request(t.Context(), call(fmt.Sprintf("%d-print0", begin.UnixMilli()), true, 10*time.Second))
+	is.NoErr(err)
+	is.Equal(r.Fate, record.FateDone) // the refused request can be sent again
+	c.checkWorkers()
+	c.awaitSame(10 * time.Second)
+}
+
+// Guards against a gang that runs on after a member's lease lapsed, and against
+// results of an older token that count. The worker is frozen past its lease.
+func TestFrozenWorker(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(3, 0)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return 6 * time.Second }
+	is.Equal(c.submit("ben", caller.JobBody{Job: "gang", Kind: "sheet", Shape: "2x8@rack"}).Fate, record.FateDone)
+	c.awaitPhase(5*time.Second, "ben", "gang", "running")
+	name := ""
+	for _, e := range c.workers.Audit() {
+		if e.What == "run" && e.Job == "gang" {
+			name = e.Worker
+		}
+	}
+	c.workers.Fault(standin.WorkerFault{Worker: name, Frozen: true})
+	c.eventually(20*time.Second, "the gang is not started again", func() bool { return c.ran("gang") == 2 })
+	c.workers.Fault(standin.WorkerFault{Worker: name})
+	c.awaitPhase(20*time.Second, "ben", "gang", "done")
+	c.checkWorkers()
+	c.awaitSame(10 * time.Second)
+}
+
+// Guards against an instance that was frozen past the lease and then acts on
+// its old view: its syncs must be refused, and the job runs once.
+func TestFrozenInstanceRenewsNothing(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(2, 0)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return 2 * time.Second }
+	for i, p := range c.live() {
+		id := fmt.Sprintf("gang-%d", i)
+		is.Equal(c.submit("ben", caller.JobBody{Job: id, Kind: "sheet", Shape: "2x4@rack"}).Fate, record.FateDone)
+		p.signal(syscall.SIGSTOP)
+		others := append(c.live()[:i:i], c.live()[i+1:]...)
+		c.eventually(30*time.Second, id+" does not end without the frozen instance", func() bool {
+			r, err := others[0].caller("ben").Job(t.Context(), id, 0)
+			return err == nil && r.Job != nil && r.Job.Phase == "done"
+		})
+		p.signal(syscall.SIGCONT)
+		is.Equal(c.ran(id), 1)
+	}
+	c.awaitReady(3)
+	c.checkWorkers()
+	c.awaitSame(15 * time.Second)
+}
+
+// Guards against cancellations with two outcomes when they race the start of a
+// gang through different instances.
+func TestCancelRacesStart(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(3, 0)
+	c.workers.Duration = func(string, worker.Grant) time.Duration { return 30 * time.Millisecond }
+	var wg sync.WaitGroup
+	for i := range 20 {
+		id := fmt.Sprintf("race-%d", i)
+		is.Equal(c.submit("ben", caller.JobBody{Job: id, Kind: "sheet", Shape: "2x2@rack"}).Fate, record.FateDone)
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond) // sweeps over the steps of the start
+			_, _ = c.live()[i%3].caller("ben").Cancel(t.Context(), id)
+		})
+	}
+	wg.Wait()
+	for i := range 20 {
+		id := fmt.Sprintf("race-%d", i)
+		c.eventually(20*time.Second, id+" has no end", func() bool {
+			phase := c.phase("ben", id)
+			return phase == state.JobDone.String() || phase == state.JobCancelled.String()
+		})
+	}
+	c.awaitSame(10 * time.Second)
+	for i := range 20 {
+		id := fmt.Sprintf("race-%d", i)
+		want := c.phase("ben", id)
+		for _, p := range c.live() {
+			r, err := p.caller("ben").Job(t.Context(), id, 0)
+			is.NoErr(err)
+			is.Equal(r.Job.Phase, want)
+		}
+	}
+	c.checkWorkers()
+}
--- /dev/null
+++ b/e2e/request_test.go
@@ -0,0 +1,238 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/client"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/standin"
+)
+
+func call(id string, once bool, deadline time.Duration) client.Call {
+	return client.Call{ID: id, Service: "badges", Class: "urgent", Once: once, Deadline: deadline, Body: []byte(id)}
+}
+
+// Guards against a non-repeatable request that runs twice when the caller
+// resends it through another instance, the first one is killed, answers of the
+// log are lost, and backend servers crash after executing.
+func TestOnceUnderFaults(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3)
+	c.fleet(1, 6)
+	for i, s := range c.backends.Servers() {
+		if i%2 == 0 {
+			s.SetFault(standin.BackendCrash)
+		}
+	}
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	faults.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			n := 1
+			c.log.Fault(standin.LogFault{Lose: &n})
+			if i%5 == 4 {
+				c.kill(c.live()[0])
+				c.add(fmt.Sprintf("k%d", i))
+			}
+		}
+	})
+	var wg sync.WaitGroup
+	var done, unknown, notrun atomic.Int64
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 12 {
+				id := fmt.Sprintf("%d-print-%d-%d", time.Now().UnixMilli(), g, i)
+				fate := record.FateUnknown
+				for try := range 4 { // resent through other instances
+					live := c.live()
+					r, err := live[(g+try)%len(live)].caller("asha").Request(t.Context(), call(id, true, 2*time.Second))
+					if err == nil && r.Fate == record.FateDone {
+						if got := string(r.Body); got != "" && got != id+" "+id {
+							t.Errorf("foreign answer %q to %s", got, id)
+						}
+						fate = r.Fate
+						break
+					}
+					if err == nil {
+						fate = r.Fate
+					}
+				}
+				switch fate {
+				case record.FateDone:
+					done.Add(1)
+				case record.FateNotRun:
+					notrun.Add(1)
+				default:
+					unknown.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	faults.Wait()
+	t.Logf("done %d, unknown %d, not run %d", done.Load(), unknown.Load(), notrun.Load())
+	is.True(done.Load() > 0)
+	for id, n := range c.backends.Executions() {
+		if n > 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
+
+// Guards against a refusal as "not run" of a request that has run, and against
+// answers that reach another caller, with every fault of the answers.
+func TestAnswersMatch(t *testing.T) {
+	c := start(t, 3)
+	c.fleet(1, 6)
+	faults := []standin.BackendFault{
+		standin.BackendFine, standin.BackendCross, standin.BackendTruncate, standin.BackendDuplicate, standin.BackendSwap, standin.BackendSplit,
+	}
+	for i, s := range c.backends.Servers() {
+		s.SetFault(faults[i])
+	}
+	var mu sync.Mutex
+	refused := map[string]bool{}
+	var wg sync.WaitGroup
+	for g := range 12 {
+		wg.Go(func() {
+			for i := range 20 {
+				id := fmt.Sprintf("%d-%d-%d", time.Now().UnixMilli(), g, i)
+				r, err := c.live()[g%3].caller("ben").Request(t.Context(), call(id, g%2 == 0, 3*time.Second))
+				if err != nil {
+					t.Error(err)
+					continue
+				}
+				if r.Fate == record.FateDone && string(r.Body) != id+" "+id {
+					t.Errorf("foreign answer %q to %s", r.Body, id)
+				}
+				if r.Fate == record.FateNotRun {
+					mu.Lock()
+					refused[id] = true
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for id := range c.backends.Executions() {
+		if refused[id] {
+			t.Errorf("%s ran although its caller was told notrun", id)
+		}
+	}
+}
+
+// Guards against a graceful shutdown that cuts requests in flight or leaves the
+// balancer without notice.
+func TestGracefulShutdown(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 2)
+	c.backends.Service = 100 * time.Millisecond
+	c.fleet(1, 6)
+	leaving := c.live()[0]
+	var cut, refused atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				// As behind a balancer: work comes only while the instance is ready.
+				if !leaving.ready() {
+					return
+				}
+				id := fmt.Sprintf("%d-%d-%d", time.Now().UnixMilli(), g, i)
+				r, err := leaving.caller("asha").Request(t.Context(), call(id, g%2 == 0, 5*time.Second))
+				switch {
+				case err != nil:
+					cut.Add(1)
+				case r.Fate != record.FateDone:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond) // so that requests are in flight
+	leaving.signal(syscall.SIGTERM)
+	select {
+	case <-leaving.done:
+	case <-time.After(15 * time.Second):
+		t.Fatal("the instance does not end")
+	}
+	close(stop)
+	wg.Wait()
+	is.Equal(cut.Load(), int64(0))
+	is.Equal(refused.Load(), int64(0))
+	c.remove(leaving)
+	c.eventually(5*time.Second, "the leave is not in the log", func() bool {
+		st, err := c.live()[0].status(t.Context())
+		return err == nil && st.Replica.Ready
+	})
+	is.True(strings.Contains(strings.Join(leaving.tail(), "\n"), "drained"))
+}
+
+// Guards against work that is sent to a leaving backend server for longer than
+// 3 s; only the server itself says that it leaves, no list does.
+func TestLeavingServer(t *testing.T) {
+	c := start(t, 3)
+	c.fleet(1, 4)
+	s := c.backends.Servers()[0]
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for g := range 6 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d-%d", time.Now().UnixMilli(), g, i)
+				_, _ = c.live()[g%3].caller("asha").Request(t.Context(), call(id, g%2 == 0, 2*time.Second))
+			}
+		})
+	}
+	c.eventually(10*time.Second, "the server gets no work at all", func() bool {
+		for _, e := range c.backends.Trail() {
+			if e.Server == s.Name {
+				return true
+			}
+		}
+		return false
+	})
+	s.SetLeaving(true)
+	left := time.Now()
+	time.Sleep(6 * time.Second) // the load goes on for twice the bound
+	close(stop)
+	wg.Wait()
+	late, last := 0, time.Duration(0)
+	for _, e := range c.backends.Trail() {
+		if e.Server == s.Name && e.At.After(left) {
+			last = e.At.Sub(left)
+			if last > 3*time.Second {
+				late++
+			}
+		}
+	}
+	t.Logf("last request to the leaving server %s after it began to leave", last)
+	if late > 0 {
+		t.Errorf("%d requests later than 3 s", late)
+	}
+}
