--- a/record/codec.go
+++ b/record/codec.go
@@ -1,7 +1,6 @@
 package record
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -102,29 +101,3 @@
 
 // Unmarshal decodes what Marshal encoded.
 func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
-
-// JSON returns the batch as indented JSON with its bodies decoded, for
-// operators; unknown kinds keep their bodies as CBOR diagnostic text.
-func JSON(b *Batch) ([]byte, error) {
-	type row struct {
-		Kind Kind   `json:"kind"`
-		ID   string `json:"id,omitempty"`
-		Body any    `json:"body,omitempty"`
-	}
-	out := struct {
-		Writer  string `json:"writer"`
-		Seq     uint64 `json:"seq"`
-		At      int64  `json:"at"`
-		Snap    uint64 `json:"snap,omitempty"`
-		Reader  uint16 `json:"reader,omitempty"`
-		Records []row  `json:"records"`
-	}{b.Writer, b.Seq, b.At, b.Snap, b.Reader, nil}
-	for _, r := range b.Records {
-		text, err := cbor.Diagnose(r.Body)
-		if err != nil {
-			return nil, &DecodeError{string(r.Kind), err}
-		}
-		out.Records = append(out.Records, row{r.Kind, r.ID, text})
-	}
-	return json.MarshalIndent(out, "", "  ")
-}
--- /dev/null
+++ b/record/codec_test.go
@@ -0,0 +1,149 @@
+package record
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/shape"
+)
+
+// samples holds one record of each kind.
+func samples(tb testing.TB) []Record {
+	slots := []shape.Slot{{Worker: 3, Mask: 0xf0}}
+	var out []Record
+	for kind, body := range map[Kind]any{
+		KindJoin:    Join{Name: "kochi-1", Addr: "127.0.0.1:7000", Domain: "kochi", Version: 1},
+		KindLeave:   Leave{},
+		KindEvict:   Evict{Writer: "kochi-2/1", Cause: "unreachable"},
+		KindPublish: Publish{Name: "account/asha", Base: 7, Schema: 2, Reader: 1, Body: []byte(`{"weight":2}`), Blocks: []Block{{Slots: slots}}},
+		KindSubmit:  Submit{Job: "j1", Account: "asha", Kind: "sheet", Shape: shape.Shape{Members: 4, GPUs: 2, Level: shape.LevelRack}, Cores: 1.5},
+		KindCancel:  Cancel{Job: "j1", By: "asha"},
+		KindPlace:   Place{Job: "j1", Revision: 9, Slots: slots, Evict: []Victim{{Job: "j0", Token: 4}}, Grace: 500},
+		KindStart:   Start{Job: "j1", Token: 10, Boots: []uint64{1}},
+		KindAbort:   Abort{Job: "j1", Token: 10, Cause: "late", Missed: []uint32{3}},
+		KindPreempt: Preempt{Job: "j1", Token: 10, Grace: 5000},
+		KindReport:  Report{Worker: 3, Results: []Result{{Job: "j1", Token: 10, Outcome: OutcomeDone, Ran: 12, Progress: 1}}},
+		KindHealth:  Health{Worker: 3, Revision: 2, Condition: ConditionLost},
+		KindReserve: Reserve{Account: "asha", Revision: 3, Block: Block{Slots: slots}},
+		KindClaim:   Claim{Request: "1796361383123-9f2c", Account: "asha", Service: "print"},
+		KindSettle:  Settle{Request: "1796361383123-9f2c", Fate: FateDone},
+		KindChunk:   Chunk{Snapshot: "s", Offset: 9, Count: 1, Data: []byte{1}},
+		KindFence:   Fence{},
+	} {
+		r, err := New(kind, "id", body)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// TestRoundTrip guards against fields that the codec loses and kinds that JSON
+// does not know.
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	b := &Batch{Writer: "a", Seq: 1, At: 2, Snap: 3, Reader: 1, Records: samples(t)}
+	data, err := Encode(b)
+	is.NoErr(err)
+	got, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(got, b)
+	is.Equal(len(b.Records), len(bodies))
+	for _, r := range got.Records {
+		body, err := Typed(r)
+		is.NoErr(err)
+		is.True(body != nil) // each kind has a body type
+	}
+	text, err := JSON(got)
+	is.NoErr(err)
+	for _, want := range []string{`"weight": 2`, `"job": "j1"`, `"kind": "fence"`} {
+		is.True(bytes.Contains(text, []byte(want)))
+	}
+}
+
+// TestLimits guards against batches that are larger than the log or the fold
+// allow, and against bytes after the batch.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	var size *SizeError
+	var bad *DecodeError
+	_, err := Encode(&Batch{Records: make([]Record, MaxBatchRecords+1)})
+	is.True(errors.As(err, &size))
+	_, err = Decode(make([]byte, MaxBatchBytes+1))
+	is.True(errors.As(err, &size))
+	many, err := Marshal(&Batch{Records: make([]Record, MaxBatchRecords+1)})
+	is.NoErr(err)
+	_, err = Decode(many)
+	is.True(errors.As(err, &size))
+	for _, data := range [][]byte{nil, {0xff}, append(must(Marshal(&Batch{})), 0)} {
+		_, err = Decode(data)
+		is.True(errors.As(err, &bad))
+	}
+}
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// FuzzDecode guards against panics in the codecs and against batches that
+// change when they are written again.
+func FuzzDecode(f *testing.F) {
+	for _, r := range samples(f) {
+		f.Add(must(Encode(&Batch{Writer: "a", Seq: 1, Records: []Record{r}})))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := Decode(data)
+		if err != nil {
+			return
+		}
+		_, _ = JSON(b)
+		again, err := Encode(b)
+		var size *SizeError
+		if errors.As(err, &size) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(must(Encode(c)), again) {
+			t.Fatal("encoding is not stable")
+		}
+	})
+}
+
+// FuzzBody guards against panics in the decoding of each body and against
+// bodies that change when they are written again.
+func FuzzBody(f *testing.F) {
+	for _, r := range samples(f) {
+		f.Add(string(r.Kind), []byte(r.Body))
+	}
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		body, err := Typed(Record{Kind: Kind(kind), Body: data})
+		if err != nil || body == nil {
+			return
+		}
+		r, err := New(Kind(kind), "", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Typed(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(must(Marshal(again)), r.Body) || reflect.TypeOf(again) != reflect.TypeOf(body) {
+			t.Fatal("encoding is not stable")
+		}
+	})
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -254,7 +254,7 @@
 
 // end turns a running task into a result.
 func (w *Workers) end(u *unit, t *unitTask, status, what string, at time.Time) {
-	t.ran = at.Sub(t.began)
+	t.ran = max(0, at.Sub(t.began)) // a lease may have expired while the process was paused
 	if status == worker.StatusDone {
 		t.progress = 1
 	} else if !t.ends.IsZero() && !at.Before(t.ends) && t.length > 0 {
--- a/worker/cluster_test.go
+++ b/worker/cluster_test.go
@@ -200,7 +200,15 @@
 		case <-limit.C:
 			c.view(func(s *state.State) {
 				for id, j := range s.Jobs {
-					c.t.Logf("job %s is %s: %s", id, j.Phase, j.Cause)
+					if !j.Phase.Terminal() {
+						c.t.Logf("job %s is %s: %s; pending %d of %v", id, j.Phase, j.Cause, j.Pending, j.Slots)
+					}
+				}
+				for _, w := range s.Workers {
+					c.t.Logf("worker %s is %q: %s", w.Name, w.Condition, w.Cause)
+					for _, t := range w.Tasks {
+						c.t.Logf("  task %s token %d phase %d", t.Job.ID, t.Token, t.Phase)
+					}
 				}
 			})
 			c.t.Fatalf("waited in vain until %s", what)
--- a/worker/grants.go
+++ b/worker/grants.go
@@ -53,7 +53,11 @@
 		}
 		if s.Wants(w, st.Job, st.Token, o) {
 			live[key{st.Job, st.Token}] = true
-			out = append(out, record.Result{Job: st.Job, Token: st.Token, Outcome: o, Ran: st.Ran, Progress: st.Progress})
+			// The fold refuses values out of range, and with them the result; a
+			// worker whose clock is wrong must not keep its job from ending.
+			out = append(out, record.Result{
+				Job: st.Job, Token: st.Token, Outcome: o, Ran: max(0, st.Ran), Progress: min(1, max(0, st.Progress)),
+			})
 		}
 	}
 	for _, t := range w.Tasks {
--- a/worker/keeper_test.go
+++ b/worker/keeper_test.go
@@ -156,6 +156,22 @@
 	is.NoErr(k.Run(ctx))
 }
 
+// TestBadNumbers guards against a job that never ends because its worker
+// states a run time or progress that the fold refuses.
+func TestBadNumbers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	c.place(record.Submit{Job: "j1"}, 0, 1)
+	c.must(record.KindStart, record.Start{Job: "j1", Token: c.job("j1").Token})
+	c.view(func(s *state.State) {
+		a := worker.SyncAnswer{Tasks: []worker.Status{{Job: "j1", Token: s.Jobs["j1"].Token, Phase: worker.StatusDone, Ran: -5, Progress: 1.5}}}
+		res := worker.Results(s, s.Workers[0], worker.SyncRequest{Offset: s.Offset}, a)
+		is.Equal(len(res), 1)
+		is.Equal(res[0].Ran, int64(0))
+		is.Equal(res[0].Progress, 1.0)
+	})
+}
+
 // schedule places waiting jobs on free workers, from the worker after the one
 // used last, until the context ends.
 func (c *cluster) schedule(ctx context.Context) error {
