--- a/state/block.go
+++ b/state/block.go
@@ -194,10 +194,22 @@
 				for _, t := range s.Workers[sl.Worker].Tasks {
 					j := t.Job
 					if j.Spec.Account == a.Name && t.Token == j.Token && (j.Phase == JobHolding || j.Phase == JobRunning) {
-						j.Guaranteed = s.covered(a.Name, j.Slots)
+						s.classify(j)
 					}
 				}
 			}
 		}
 	}
 }
+
+// classify derives whether a placed job is guaranteed.
+func (s *State) classify(j *Job) {
+	now := s.covered(j.Spec.Account, j.Slots)
+	if now == j.Guaranteed {
+		return
+	}
+	j.Guaranteed = now
+	for _, sl := range j.Slots {
+		s.touched(s.Workers[sl.Worker])
+	}
+}
--- a/state/job.go
+++ b/state/job.go
@@ -50,7 +50,9 @@
 	}
 	// Equal strings share memory; there are few accounts and kinds.
 	v.Account, v.Kind = a.Name, s.intern(v.Kind)
-	s.Jobs[v.Job] = &Job{ID: v.Job, Spec: v, Revision: s.token(), Submitted: s.Now, Changed: s.Now, Cause: "submitted"}
+	j := &Job{ID: v.Job, Spec: v, Revision: s.token(), Submitted: s.Now, Changed: s.Now, Cause: "submitted"}
+	s.Jobs[v.Job] = j
+	s.jobMoved(j)
 	return "", ""
 }
 
@@ -220,6 +222,13 @@
 func (s *State) touch(j *Job) {
 	j.Revision = s.token()
 	j.Changed = s.Now
+	s.jobMoved(j)
+}
+
+func (s *State) jobMoved(j *Job) {
+	if s.Moved != nil {
+		s.Moved(j)
+	}
 }
 
 // stopJob takes the job off its accelerators; it waits again when all of its
