Do not blame a job for failures on faulty workers

Cause: in the trace failing-workers two sound jobs ended as poison, because they met three of the workers that fail every task before those were set aside. Ruled out: more failures before a job is given up, because a bad job would then take more capacity on sound workers. Change: a worker that failed more than it did, for more than one account, does not count among the three; ten failures end a job in any case.

--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -123,17 +124,25 @@
 	tests := []struct {
 		name    string
 		workers []uint32 // on which it fails, in order
+		others  string   // account whose job fails on each of them before
 		want    JobPhase
 	}{
-		{"same worker", []uint32{2, 2, 2}, JobWaiting},
-		{"two workers", []uint32{2, 3, 2, 3}, JobWaiting},
-		{"three workers", []uint32{2, 3, 4}, JobFailed},
-		{"ten failures", []uint32{2, 2, 2, 2, 2, 2, 2, 2, 2, 2}, JobFailed},
+		{"same worker", []uint32{2, 2, 2}, "", JobWaiting},
+		{"two workers", []uint32{2, 3, 2, 3}, "", JobWaiting},
+		{"three workers", []uint32{2, 3, 4}, "", JobFailed},
+		{"three workers, same account", []uint32{2, 3, 4}, "chitra", JobFailed},
+		{"three faulty workers", []uint32{2, 3, 4}, "binu", JobWaiting},
+		{"ten failures", []uint32{2, 2, 2, 2, 2, 2, 2, 2, 2, 2}, "", JobFailed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newScene(t)
+			for _, w := range tt.workers {
+				if tt.others != "" {
+					c.report(c.run(fmt.Sprint("other", w), tt.others, true, w), w, record.OutcomeFailed)
+				}
+			}
 			j := c.submit("j", "chitra", 1, false)
 			for _, w := range tt.workers {
 				is.Equal(j.Phase, JobWaiting)
--- a/state/job.go
+++ b/state/job.go
@@ -300,7 +300,7 @@
 	}
 	j.Pending = 0
 	j.Slots = nil
-	if j.Failures >= MaxAttempts || distinct(j.FailedOn) >= MaxFailures {
+	if j.Failures >= MaxAttempts || s.blame(j) >= MaxFailures {
 		s.endJob(j, JobFailed, "poison: "+j.Cause)
 		return
 	}
@@ -308,11 +308,13 @@
 	s.touch(j)
 }
 
-// distinct returns how many different workers the list names.
-func distinct(list []uint32) int {
+// blame returns on how many different workers the job failed that do not fail
+// the jobs of other accounts too: several faulty workers must not end a job
+// that is sound.
+func (s *State) blame(j *Job) int {
 	n := 0
-	for i, w := range list {
-		if !slices.Contains(list[:i], w) {
+	for i, index := range j.FailedOn {
+		if !slices.Contains(j.FailedOn[:i], index) && !s.Workers[index].faulty() {
 			n++
 		}
 	}
--- a/state/worker.go
+++ b/state/worker.go
@@ -175,6 +175,12 @@
 	w.age()
 }
 
+// faulty reports whether the worker fails more than it does, for more than one
+// account.
+func (w *Worker) faulty() bool {
+	return w.Failed > w.Done && slices.ContainsFunc(w.Failures, func(f Failure) bool { return f.Account != w.Failures[0].Account })
+}
+
 // succeeded notes that members of a job were done on the worker; it is then no
 // longer on probation.
 func (w *Worker) succeeded() {
