--- a/standin/worker.go
+++ b/standin/worker.go
@@ -254,7 +254,7 @@
 
 // end turns a running task into a result.
 func (w *Workers) end(u *unit, t *unitTask, status, what string, at time.Time) {
-	t.ran = at.Sub(t.began)
+	t.ran = max(0, at.Sub(t.began)) // a lease may have expired while the process was paused
 	if status == worker.StatusDone {
 		t.progress = 1
 	} else if !t.ends.IsZero() && !at.Before(t.ends) && t.length > 0 {
@@ -316,7 +316,11 @@
 	if g.Phase == worker.PhaseHold && t == nil {
 		return w.hold(u, g, now)
 	}
-	if t == nil || g.Boot != 0 && g.Boot != u.boot {
+	if g.Boot != 0 && g.Boot != u.boot && t != nil {
+		w.stop(u, key, t, "drop", now) // held since the restart, but not what was started
+		t = nil
+	}
+	if t == nil {
 		return worker.StatusAbsent
 	}
 	switch g.Phase {
--- a/worker/cluster_test.go
+++ b/worker/cluster_test.go
@@ -28,6 +28,7 @@
 	mu      sync.RWMutex
 	s       *state.State
 	seq     uint64
+	ahead   int64 // milliseconds that the batches' clock is ahead
 	changed chan struct{}
 	events  chan struct{} // has room for one; filled by events of the stand-in
 	workers *standin.Workers
@@ -82,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seq++
-	out, err := c.s.Apply(c.s.Offset, &record.Batch{Writer: "a", Seq: c.seq, At: time.Now().UnixMilli(), Records: recs})
+	out, err := c.s.Apply(c.s.Offset, &record.Batch{Writer: "a", Seq: c.seq, At: time.Now().UnixMilli() + c.ahead, Records: recs})
 	if err == nil {
 		err = c.s.Check()
 	}
@@ -200,7 +201,15 @@
 		case <-limit.C:
 			c.view(func(s *state.State) {
 				for id, j := range s.Jobs {
-					c.t.Logf("job %s is %s: %s", id, j.Phase, j.Cause)
+					if !j.Phase.Terminal() {
+						c.t.Logf("job %s is %s: %s; pending %d of %v", id, j.Phase, j.Cause, j.Pending, j.Slots)
+					}
+				}
+				for _, w := range s.Workers {
+					c.t.Logf("worker %s is %q: %s", w.Name, w.Condition, w.Cause)
+					for _, t := range w.Tasks {
+						c.t.Logf("  task %s token %d phase %d", t.Job.ID, t.Token, t.Phase)
+					}
 				}
 			})
 			c.t.Fatalf("waited in vain until %s", what)
