Set aside workers that fail the jobs of several accounts

Cause: a worker that fails every task is often the emptiest and attracts jobs until each has failed three times. Ruled out: a cause in the worker's state, which the fold does not keep; whether a worker was set aside for failures is derived from its failed jobs. The number of strikes is local to one instance and starts again after a failover.

--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -21,11 +21,12 @@
 	seq       uint64
 	at        int64
 	ends      map[string]int64 // run times by job, in milliseconds
+	faulty    map[uint32]bool  // workers that fail every task
 	log       []record.Record  // what the scheduler proposed
 }
 
 func newCluster(t rapid.TB, domains, racks, workers, gpus int) *cluster {
-	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000, ends: map[string]int64{}}
+	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000, ends: map[string]int64{}, faulty: map[uint32]bool{}}
 	for d := range domains {
 		for r := range racks {
 			body := state.RackBody{Domain: fmt.Sprintf("d%d", d)}
@@ -134,6 +135,8 @@
 			switch {
 			case t.Phase == state.TaskStopping:
 				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeStopped})
+			case t.Phase == state.TaskRun && c.faulty[w.Index]:
+				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeFailed})
 			case over:
 				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeDone})
 			}
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -31,6 +31,9 @@
 		if r.full() {
 			return
 		}
+		if slices.ContainsFunc(v.Block.Slots, func(sl shape.Slot) bool { return r.changing(sl.Worker) }) {
+			continue
+		}
 		id := fmt.Sprintf("reserve-%s-%d", v.Account, v.Revision)
 		if add(r, record.KindReserve, id, v) {
 			r.hold(v.Block.Slots)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -40,6 +40,8 @@
 	moved    int64          // time of the last search for moves
 	repaired int64          // time of the last repair
 	resting  map[need]bool  // failed in rounds that ran out of tries
+	searched int64          // time of the last search for faulty workers
+	suspects map[uint32]*suspect
 }
 
 func orDefault[T int | int64](v, d T) T {
@@ -63,6 +65,7 @@
 	kept    []reservation
 	unfit   map[unfit]bool
 	overdue bool // overdue reservations were made
+	health  []record.Health
 }
 
 // need is what decides whether a job fits; jobs with equal needs fail alike.
@@ -100,6 +103,7 @@
 	}
 	c.learn()
 	defer func() { c.Index.Release(r.held) }()
+	r.quarantine()
 	r.repair()
 	q := newQueue(s, now, orDefault(c.Ageing, DefaultAgeing), c.Index)
 	for j := q.next(); j != nil && !r.full(); j = q.next() {
@@ -122,10 +126,13 @@
 		c.Index.Release(k.drain.Slots)
 	}
 	r.move()
+	r.conditions()
 	return r.out
 }
 
-func (r *round) full() bool { return len(r.out) >= orDefault(r.Round, DefaultRound) }
+func (r *round) full() bool {
+	return len(r.out)+len(r.health) >= orDefault(r.Round, DefaultRound)
+}
 
 // learn takes over the run times of jobs that finished since the last call.
 func (c *Scheduler) learn() {
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -200,6 +200,9 @@
 					c.must(record.KindCancel, record.Cancel{Job: j.ID, By: "test"})
 				}
 			}
+		case 2:
+			w := c.state.Workers[rapid.IntRange(0, len(c.state.Workers)-1).Draw(t, "faulty")]
+			c.faulty[w.Index] = !c.faulty[w.Index]
 		default:
 			for range rapid.IntRange(1, 6).Draw(t, "burst") {
 				n++
