Share what is borrowed, and skip rounds when nothing changed

Cause: an account that used its guarantees was put behind others for the capacity that nobody is guaranteed; and a round did its work again although neither a worker nor a job had changed. Ruled out: counting the size of the blocks as guaranteed use, which would let an account with idle blocks borrow as much again. Change: fair share counts accelerators beyond guaranteed use; a round that proposed nothing and tried everything is repeated on an unchanged state only after a second, for what depends on time.

--- a/placement/claims.go
+++ b/placement/claims.go
@@ -11,6 +11,7 @@
 	account *state.Account // replaced when the account is published again
 	counts  map[claimNeed]int
 	room    int // accelerators of the blocks that could be taken; -1 if not counted
+	used    int // accelerators of the blocks in guaranteed use; -1 if not counted
 }
 
 // claimNeed is what decides which of its account's blocks a job fills.
@@ -45,7 +46,7 @@
 func (x *Index) claimCache(a *state.Account) *claimCache {
 	c := x.claims[a.Name]
 	if c == nil || c.account != a {
-		c = &claimCache{a, map[claimNeed]int{}, -1}
+		c = &claimCache{a, map[claimNeed]int{}, -1, -1}
 		x.claims[a.Name] = c
 	}
 	return c
@@ -73,6 +74,31 @@
 	return c.room
 }
 
+// Borrowed returns how many accelerators the account uses beyond its
+// guarantees.
+func (x *Index) Borrowed(a *state.Account) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.flush()
+	if len(a.Blocks) == 0 {
+		return a.Used
+	}
+	c := x.claimCache(a)
+	if c.used < 0 {
+		c.used = 0
+		for _, b := range a.Blocks {
+			for _, sl := range b.Slots {
+				for _, t := range x.state.Workers[sl.Worker].Tasks {
+					if t.Job.Guaranteed && t.Token == t.Job.Token && t.Job.Spec.Account == a.Name {
+						c.used += (t.Mask & sl.Mask).Count()
+					}
+				}
+			}
+		}
+	}
+	return max(0, a.Used-c.used)
+}
+
 func (x *Index) countClaims(j *state.Job, a *state.Account) int {
 	n, sh := 0, j.Spec.Shape
 	portions := x.portions(j, a)
--- a/placement/exhaustive_test.go
+++ b/placement/exhaustive_test.go
@@ -100,6 +100,9 @@
 	for _, j := range h.index.Waiting() {
 		h.index.Claims(j) // fills the cache that the next record may make stale
 	}
+	for _, a := range s.Accounts {
+		h.index.Borrowed(a)
+	}
 	name := rapid.SampledFrom([]string{"asha", "ben"}).Draw(t, "account")
 	switch rapid.IntRange(0, 9).Draw(t, "action") {
 	case 0:
@@ -227,6 +230,11 @@
 				t.Fatalf("job %s: %d claims, a new index says %d", j.ID, got, want)
 			}
 		}
+		for _, a := range h.state.Accounts {
+			if got, want := h.index.Borrowed(a), fresh.Borrowed(a); got != want {
+				t.Fatalf("account %s borrows %d, a new index says %d", a.Name, got, want)
+			}
+		}
 		for _, old := range h.index.active {
 			again := fresh.table(old.tier, old.gpus)
 			for r := range again.racks {
--- a/placement/index.go
+++ b/placement/index.go
@@ -36,7 +36,8 @@
 	jobs    jobs
 	claims  map[string]*claimCache // by account
 
-	heldWorkers int // workers with accelerators on hold
+	heldWorkers int    // workers with accelerators on hold
+	changes     uint64 // of workers and jobs
 }
 
 // Sum counts accelerators of ready workers.
@@ -89,6 +90,7 @@
 	for len(x.nodes) <= int(w.Index) {
 		x.nodes = append(x.nodes, node{})
 	}
+	x.changes++
 	for _, b := range w.Blocks {
 		delete(x.claims, b.Account)
 	}
@@ -190,6 +192,13 @@
 	}
 }
 
+// Changes returns a number that grows with each change of a worker or job.
+func (x *Index) Changes() uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.changes
+}
+
 // Sum returns the counts of all ready workers.
 func (x *Index) Sum() Sum {
 	x.mu.Lock()
--- a/placement/jobs.go
+++ b/placement/jobs.go
@@ -47,6 +47,7 @@
 func (x *Index) moved(j *state.Job) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.changes++
 	switch {
 	case j.Phase == state.JobWaiting && !x.jobs.known[j]:
 		x.jobs.known[j] = true
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -38,7 +38,7 @@
 type line struct {
 	account *state.Account
 	jobs    []*state.Job
-	used    int // accelerators, with what this round placed
+	used    int // accelerators beyond its guarantees, with what this round placed
 	rank    float64
 }
 
@@ -58,7 +58,7 @@
 		}
 		c := q.classOf(j, a)
 		if l[c] == nil {
-			l[c] = &line{account: a, used: a.Used}
+			l[c] = &line{account: a, used: x.Borrowed(a)}
 			q.lines[c] = append(q.lines[c], l[c])
 		}
 		l[c].jobs = append(l[c].jobs, j)
@@ -121,8 +121,12 @@
 	return nil
 }
 
-// placed counts the job's accelerators as used by its account.
+// placed counts the job's accelerators as used by its account, unless a
+// guarantee covers them.
 func (q *queue) placed(j *state.Job) {
+	if q.class == classClaim {
+		return
+	}
 	for c := range q.lines {
 		for i, l := range q.lines[c] {
 			if l.account.Name == j.Spec.Account {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -18,6 +18,7 @@
 	DefaultReservations = 4
 	DefaultMoveEvery    = 30_000
 	DefaultRepairEvery  = 500
+	DefaultIdle         = 1_000
 )
 
 // Scheduler turns a state and a time into records to propose. It keeps only
@@ -34,6 +35,7 @@
 	Reservations int   // reservations at most; default DefaultReservations
 	MoveEvery    int64 // milliseconds between searches for moves; default DefaultMoveEvery
 	RepairEvery  int64 // milliseconds between repairs that found no room; default DefaultRepairEvery
+	Idle         int64 // milliseconds until a round that proposed nothing is repeated on an unchanged state; default DefaultIdle
 
 	times    Times
 	units    map[string]int // unit reserved for a job, kept over rounds
@@ -42,6 +44,7 @@
 	resting  map[need]bool  // failed in rounds that ran out of tries
 	searched int64          // time of the last search for faulty workers
 	suspects map[uint32]*suspect
+	idle     idle
 }
 
 func orDefault[T int | int64](v, d T) T {
@@ -92,10 +95,21 @@
 	drain placement.Drain
 }
 
+// idle is the last round that proposed nothing.
+type idle struct {
+	changes uint64
+	at      int64
+	valid   bool
+}
+
 // Decide returns records that the fold accepts if nothing else happens in
 // between; now is in Unix milliseconds. Guarantee claims come first, then
 // urgent jobs, then a weighted fair share between accounts with ageing.
 func (c *Scheduler) Decide(s *state.State, now int64) []record.Record {
+	changes := c.Index.Changes()
+	if c.idle.valid && c.idle.changes == changes && now-c.idle.at < orDefault(c.Idle, DefaultIdle) {
+		return nil
+	}
 	r := &round{
 		Scheduler: c, state: s, now: now,
 		used: map[string]int{}, victims: map[string]bool{}, failed: map[need]bool{}, unfit: map[unfit]bool{},
@@ -127,6 +141,7 @@
 	}
 	r.move()
 	r.conditions()
+	c.idle = idle{changes, now, len(r.out) == 0 && r.tries > 0}
 	return r.out
 }
 
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -107,6 +107,38 @@
 	is.Equal(c.state.Accounts["ben"].Used, 8)
 }
 
+// Guards against an account that is put behind others for using what it is
+// guaranteed.
+func TestFairShareLeavesOutGuarantees(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 2, 4, 4)
+	c.account("asha", state.AccountBody{Guarantees: []state.GuaranteeBody{{Shape: "4x4@rack", Count: 1}}})
+	c.account("ben", state.AccountBody{})
+	c.submit("claim", "asha", "4x4@rack", 1<<40, nil)
+	c.round()
+	for i := range 16 {
+		c.submit(fmt.Sprintf("a%02d", i), "asha", "1x1@worker", 60_000, nil)
+		c.submit(fmt.Sprintf("b%02d", i), "ben", "1x1@worker", 60_000, nil)
+	}
+	c.round()
+	is.Equal(c.state.Accounts["asha"].Used, 16+8)
+	is.Equal(c.state.Accounts["ben"].Used, 8)
+}
+
+// Guards against rounds that do their work again while nothing changes.
+func TestIdleRounds(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, 1, 4)
+	c.account("asha", state.AccountBody{})
+	is.Equal(len(c.round()), 0)
+	before := c.scheduler.idle.at
+	c.at += DefaultIdle / 2
+	c.round()
+	is.Equal(c.scheduler.idle.at, before)
+	c.submit("a", "asha", "1x1@worker", 60_000, nil)
+	is.Equal(len(c.round()), 1)
+}
+
 // Guards against a burst that makes a round unbounded.
 func TestRoundIsBounded(t *testing.T) {
 	is := is.New(t)
