Leave blocks to their accounts when a unit is reserved for a large job

Cause: a reservation for a waiting large job holds all accelerators of its drain, also those in blocks of other accounts. A job smaller than its account's guaranteed shape is no claim, so it is tried after the reservation was made and finds its own blocks held.

Ruled out: trying all jobs that fit into own blocks as claims, because an account's own small jobs would then come before its guaranteed shapes; leaving foreign blocks out of the drain altogether, because then no unit with blocks could be reserved.

Change: a job is placed with what reservations keep in its account's own blocks at its disposal. TestReservationLeavesBlocks fails without the change.

TestProposalsAreAccepted of schedule fails since the fold refuses to cancel a job in phase unknown; it fails the same way without this change.

--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -126,6 +126,46 @@
 	return ok
 }
 
+// placeOwn places the job with what reservations of other jobs keep in its
+// account's own blocks at its disposal: a reservation must not keep an account
+// from its guarantee.
+func (r *round) placeOwn(j *state.Job) bool {
+	lent := make([][]shape.Slot, len(r.kept))
+	for i, k := range r.kept {
+		lent[i] = r.ownPart(j.Spec.Account, k.drain.Slots)
+		r.Index.Release(lent[i])
+	}
+	held := len(r.held)
+	ok := r.place(j)
+	for i := range r.kept {
+		r.kept[i].drain.Slots = without(r.kept[i].drain.Slots, r.held[held:])
+		r.Index.Hold(without(lent[i], r.held[held:]))
+	}
+	return ok
+}
+
+// ownPart returns the slots that lie in whole blocks of the account.
+func (r *round) ownPart(account string, slots []shape.Slot) []shape.Slot {
+	var out []shape.Slot
+	for _, sl := range slots {
+		var own shape.Mask
+		for _, b := range r.state.Workers[sl.Worker].Blocks {
+			if b.Broken || b.Account != account {
+				continue
+			}
+			for _, o := range b.Slots {
+				if o.Worker == sl.Worker {
+					own |= o.Mask
+				}
+			}
+		}
+		if sl.Mask &= own; sl.Mask != 0 {
+			out = append(out, sl)
+		}
+	}
+	return out
+}
+
 // without returns the slots less the accelerators of others.
 func without(slots, others []shape.Slot) []shape.Slot {
 	var out []shape.Slot
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -186,7 +186,7 @@
 	known := len(j.FailedOn) == 0
 	if !known || !r.failed[n] {
 		r.tries--
-		if r.place(j) {
+		if r.placeOwn(j) {
 			return true
 		}
 		if known {
