Let connection shares grow only after a member has left for a second

The remaining instances opened theirs before the server had noticed that those of the leaving one were closed. Ruled out: the join, because the new instance already waits for a second; a client over its share, because TestConnectionCap counts sockets at the client and holds. Change: a member that left counts for the shares for another second, as a joining one does. Conclusion: the sum of the shares has a margin of one second in both directions.

--- a/caller/api_test.go
+++ b/caller/api_test.go
@@ -283,3 +283,18 @@
 		}
 	})
 }
+
+// The time-out for reading a request must not end a request that runs longer.
+func TestRunsLongerThanReadTimeout(t *testing.T) {
+	is := is.New(t)
+	k := newBench(t, 1, &standin.Backends{Service: 300 * time.Millisecond})
+	_, url := k.serve(func(a *API) { a.ReadTimeout = 100 * time.Millisecond })
+	status, v, _ := do(t, "POST", url+"/v1/requests/badges", "ta", "x", "Repeatable: true")
+	is.Equal(status, 200)
+	is.Equal(v.Fate, record.FateDone)
+	begin := time.Now()
+	k.log.publish(t, "rack/r1", state.RackBody{Domain: "kochi", Workers: []state.WorkerBody{{Name: "w1", GPUs: 8}}})
+	do(t, "POST", url+"/v1/jobs", "ta", `{"job":"j1","shape":"1x2@worker"}`)
+	do(t, "GET", url+"/v1/jobs/j1?wait=300", "ta", "")
+	is.True(time.Since(begin) >= 300*time.Millisecond)
+}
--- a/caller/fault_test.go
+++ b/caller/fault_test.go
@@ -310,6 +310,10 @@
 		k.log.must(t, fmt.Sprintf("i%d", i), record.KindLeave, record.Leave{})
 		<-after(300 * time.Millisecond)
 	}
+	<-after(1200 * time.Millisecond) // the last growth
+	for _, r := range routers[3:] {
+		is.Equal(r.Table.Connections(k.backends.Servers()[0].Addr), 6)
+	}
 	close(stop)
 	wg.Wait()
 	for _, s := range k.backends.Servers() {
--- a/caller/feed.go
+++ b/caller/feed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +29,7 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		if r.Ready() {
+		if r.steady() {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -106,8 +107,10 @@
 	}
 }
 
-// usable returns the members for the shares: none until the own join has been
-// in the log for JoinDelay, in which the others reduce theirs.
+// usable returns the members among whom connections are shared: none until
+// the own join has been in the log for JoinDelay, in which the others reduce
+// their shares. A member that left counts for the same time, in which servers
+// notice that its connections are closed.
 func (r *Router) usable(member bool, members []string) []string {
 	delay := r.JoinDelay
 	if delay == 0 {
@@ -115,15 +118,41 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	t := time.Now()
 	switch {
 	case !member:
 		r.joined = time.Time{}
 	case r.joined.IsZero():
-		r.joined = time.Now()
+		r.joined = t
 	}
-	r.ready = member && !r.drained && time.Since(r.joined) >= delay
+	if r.seen == nil {
+		r.seen = map[string]time.Time{}
+	}
+	for _, m := range members {
+		r.seen[m] = t
+	}
+	r.departed = false
+	for m, last := range r.seen {
+		switch {
+		case last == t:
+		case t.Sub(last) >= delay:
+			delete(r.seen, m)
+		default:
+			r.departed = true
+			members = append(members, m)
+		}
+	}
+	r.ready = member && !r.drained && t.Sub(r.joined) >= delay
 	if !r.ready {
 		return nil
 	}
+	slices.Sort(members)
 	return members
 }
+
+// steady reports whether the shares stay as they are until the state changes.
+func (r *Router) steady() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready && !r.departed
+}
--- a/caller/router.go
+++ b/caller/router.go
@@ -36,7 +36,7 @@
 	Count       func(event, reason string) // counts answers ("answer"), refusals and retries; default nothing
 	Logger      *zap.Logger                // default none
 	NewQueue    func() *route.Queue        // for each service; default the zero Queue
-	JoinDelay   time.Duration              // after the own join before the first use of the shares; default 1 s, negative none
+	JoinDelay   time.Duration              // from a join or leave in the log until shares grow; default 1 s, negative none
 	ProbeWait   time.Duration              // default 250 ms
 
 	mu       sync.Mutex
@@ -55,6 +55,8 @@
 	settler  bool
 
 	joined   time.Time
+	seen     map[string]time.Time // when each member was last in the state
+	departed bool                 // a member that left still counts
 	ready    bool
 	services map[string]uint64 // version of each service in the table
 }
--- /dev/null
+++ b/standin/backend_test.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func post(s *BackendServer, id, deadline string) (*http.Response, string, error) {
+	req, err := http.NewRequest("POST", "http://"+s.Addr+"/run/badges", strings.NewReader("x"))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Header = http.Header{"Request-Id": {id}, "Attempt-Id": {"a" + id}, "Deadline-Ms": {deadline}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// The stand-in must run at most Slots at once, queue Backlog, refuse the rest
+// unrun, and record exactly what ran: other tests judge by its trail.
+func TestBackendSlots(t *testing.T) {
+	is := is.New(t)
+	b := &Backends{Slots: 2, Backlog: 1, Service: 300 * time.Millisecond}
+	defer b.Close()
+	s, err := b.Add("s0")
+	is.NoErr(err)
+	begin := time.Now()
+	var mu sync.Mutex
+	reasons := map[string]int{}
+	var wg sync.WaitGroup
+	for i := range 5 {
+		wg.Go(func() {
+			resp, body, err := post(s, fmt.Sprint(i), "5000")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reasons[resp.Header.Get("Fate")+resp.Header.Get("Reason")]++
+			if resp.StatusCode == 200 && body != fmt.Sprint(i, " x") {
+				t.Errorf("answer %q", body)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(reasons, map[string]int{"done": 3, "notrunbusy": 2})
+	is.True(time.Since(begin) >= 600*time.Millisecond)
+	is.Equal(len(b.Trail()), 3)
+	for _, e := range b.Trail() {
+		is.True(e.Done)
+		is.Equal(e.Attempt, "a"+e.Request)
+	}
+	is.Equal(len(b.Executions()), 3)
+}
+
+// A request whose deadline passes while it waits for a slot must not run.
+func TestBackendDeadline(t *testing.T) {
+	is := is.New(t)
+	b := &Backends{Slots: 1}
+	defer b.Close()
+	s, err := b.Add("s0")
+	is.NoErr(err)
+	s.SetFault(BackendStall)
+	done := make(chan error)
+	go func() {
+		_, _, err := post(s, "1", "5000")
+		done <- err
+	}()
+	for len(b.Trail()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, _, err := post(s, "2", "50")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("Reason"), "deadline")
+	is.Equal(resp.Header.Get("Load"), "1")
+	s.SetFault(BackendFine) // lets the stalled one go on
+	is.NoErr(<-done)
+	is.Equal(b.Executions(), map[string]int{"1": 1})
+}
+
+// Connections beyond the cap are closed and counted.
+func TestBackendConnections(t *testing.T) {
+	is := is.New(t)
+	b := &Backends{Conns: 2}
+	defer b.Close()
+	s, err := b.Add("s0")
+	is.NoErr(err)
+	for range 3 {
+		c, err := net.Dial("tcp", s.Addr)
+		is.NoErr(err)
+		defer c.Close()
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		c.Read(make([]byte, 1)) // refused ones end at once
+	}
+	open, refused := s.Peak()
+	is.Equal(open, 2)
+	is.Equal(refused, 1)
+}
