--- /dev/null
+++ b/cli/client.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+
+	"jasminelane.example/lane/client"
+	"jasminelane.example/lane/operator"
+	"jasminelane.example/lane/record"
+)
+
+func (f *flags) operators() *client.Client { return &client.Client{Base: f.operator, Token: f.token} }
+func (f *flags) callers() *client.Client   { return &client.Client{Base: f.caller, Token: f.token} }
+
+// operate calls the operators' API and gives its failures their exit codes.
+func operate[T any](f *flags, method, path string, query url.Values, body []byte) (T, error) {
+	out, err := client.Operate[T](f.ctx, f.operators(), method, path, query, body)
+	return out, exitFor(err, method == http.MethodGet)
+}
+
+// exitFor attaches an exit code; reading says that the call changed nothing,
+// so that a missing answer leaves no fate unknown.
+func exitFor(err error, reading bool) error {
+	var refusal *operator.Refusal
+	var unreachable *client.UnreachableError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refusal) && refusal.Fate == record.FateUnknown:
+		return &exitError{ExitUnknown, err}
+	case errors.As(err, &refusal):
+		return &exitError{ExitRefused, err}
+	case errors.As(err, &unreachable) && reading:
+		return &exitError{ExitUnreachable, err}
+	case errors.As(err, &unreachable):
+		return &exitError{ExitUnknown, err}
+	default:
+		return &exitError{ExitFailed, err}
+	}
+}
+
+// show prints v as JSON, or calls table to print rows.
+func (t *Tool) show(f *flags, v any, table func(w io.Writer)) error {
+	if f.output == "json" {
+		e := json.NewEncoder(t.Out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(t.Out, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func row(w io.Writer, cells ...any) {
+	for i, c := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, c)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/cli/play.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/demo"
+	"jasminelane.example/lane/entry"
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/trace"
+)
+
+// defaultInputs are the demo's inputs, as seen from the repository's root.
+var defaultInputs = []string{"examples/chirakkal.jsonl", "examples/sandalwood.jsonl"}
+
+func runDemo(t *Tool, f *flags) error {
+	logFile := f.String("log", "", "write the instances' log lines to this file")
+	if err := f.parse(-1); err != nil {
+		return err
+	}
+	paths := f.args
+	if len(paths) == 0 {
+		paths = defaultInputs
+	}
+	logger := zap.NewNop()
+	if *logFile != "" {
+		out, err := os.Create(*logFile)
+		if err != nil {
+			return err
+		}
+		defer out.Close()
+		logger = entry.NewLogger(out, false)
+	}
+	var failed error
+	for _, path := range paths {
+		err := demo.Run(f.ctx, path, t.Out, logger)
+		var wrong *demo.WrongError
+		switch {
+		case errors.As(err, &wrong):
+			failed = errors.Join(failed, err)
+		case err != nil:
+			return err
+		}
+	}
+	if failed != nil {
+		return &exitError{ExitExpectation, failed}
+	}
+	fmt.Fprintln(t.Out, "all fates as stated")
+	return nil
+}
+
+func runReplay(t *Tool, f *flags) error {
+	plot := f.String("plot", "", "also write plots as PNG files to this directory")
+	completion := f.Float64("completion", -1, "weight of completion time; default from the trace")
+	fragmentation := f.Float64("fragmentation", -1, "weight of fragmentation; default from the trace")
+	if err := f.parse(-1); err != nil {
+		return err
+	}
+	if len(f.args) == 0 {
+		return &UsageError{"replay wants at least one trace file"}
+	}
+	var o trace.Options
+	switch {
+	case *completion >= 0 && *fragmentation >= 0:
+		o.Policy = &placement.Policy{Completion: *completion, Fragmentation: *fragmentation}
+	case *completion >= 0 || *fragmentation >= 0:
+		return &UsageError{"-completion and -fragmentation go together"}
+	}
+	var failed error
+	for _, path := range f.args {
+		r, err := trace.Run(path, o)
+		var expect *trace.ExpectError
+		if err != nil && !errors.As(err, &expect) {
+			return err
+		}
+		failed = errors.Join(failed, err)
+		show := r.WriteTable
+		if f.output == "json" {
+			show = r.WriteJSON
+		}
+		if err := show(t.Out); err != nil {
+			return err
+		}
+		if *plot != "" {
+			if err := r.Plot(*plot); err != nil {
+				return err
+			}
+		}
+	}
+	if failed != nil {
+		return &exitError{ExitExpectation, failed}
+	}
+	return nil
+}
