Report a version in force only when the router uses it

Cause: a publish reported a service in force by the applied offset while the router looked at the state up to 200 ms later, so a request right after the publish was refused with reason service (seen in TestLogOutage, TestOnceUnderFaults and TestGracefulShutdown).

Ruled out: a lagging replica (offsets were equal); a shorter interval of the router's look, which only narrows the gap.

Change: an instance that is asked for its offset first lets the router take the state at that offset. TestFrozenWorker took the phase in the log for the run on the worker; it now waits for the run itself.

Conclusion: in force now includes the request path.

--- a/caller/feed.go
+++ b/caller/feed.go
@@ -47,13 +47,25 @@
 	return r.ready
 }
 
+// Feed updates the table from the state unless it holds the offset already, so
+// that a version is not reported in force before it is used here.
+func (r *Router) Feed(offset uint64) {
+	if r.fed.Load() < offset {
+		r.feed()
+	}
+}
+
 // feed updates the table from the state.
 func (r *Router) feed() {
+	r.feeding.Lock()
+	defer r.feeding.Unlock()
 	var members []string
+	var offset uint64
 	changed := map[string][]byte{}
 	versions := map[string]uint64{}
 	member := false
 	r.View(func(s *state.State) {
+		offset = s.Offset
 		for _, m := range s.Members {
 			members = append(members, m.Writer)
 			member = member || m.Writer == r.Writer
@@ -85,6 +97,7 @@
 	}
 	r.services = versions
 	r.Table.SetMembers(r.Writer, r.usable(member, members))
+	r.fed.Store(offset)
 	if r.Trim != nil {
 		r.Trim()
 	}
--- a/caller/router.go
+++ b/caller/router.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,7 +59,10 @@
 	seen     map[string]time.Time // when each member was last in the state
 	departed bool                 // a member that left still counts
 	ready    bool
+
+	feeding  sync.Mutex        // before mu; guards services
 	services map[string]uint64 // version of each service in the table
+	fed      atomic.Uint64     // log offset that the table reflects
 }
 
 var started = time.Now()
--- a/e2e/job_test.go
+++ b/e2e/job_test.go
@@ -170,13 +170,15 @@
 	c.fleet(3, 0)
 	c.workers.Duration = func(string, worker.Grant) time.Duration { return 6 * time.Second }
 	is.Equal(c.submit("ben", caller.JobBody{Job: "gang", Kind: "sheet", Shape: "2x8@rack"}).Fate, record.FateDone)
-	c.awaitPhase(5*time.Second, "ben", "gang", "running")
 	name := ""
-	for _, e := range c.workers.Audit() {
-		if e.What == "run" && e.Job == "gang" {
-			name = e.Worker
+	c.eventually(5*time.Second, "the gang does not run", func() bool {
+		for _, e := range c.workers.Audit() {
+			if e.What == "run" && e.Job == "gang" {
+				name = e.Worker
+			}
 		}
-	}
+		return name != ""
+	})
 	c.workers.Fault(standin.WorkerFault{Worker: name, Frozen: true})
 	c.eventually(20*time.Second, "the gang is not started again", func() bool { return c.ran("gang") == 2 })
 	c.workers.Fault(standin.WorkerFault{Worker: name})
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -259,7 +259,7 @@
 	s := &peer.Server{
 		Writer: n.Writer,
 		Offset: func() peer.Applied {
-			st := n.replica.Status()
+			st := n.inForce()
 			return peer.Applied{Writer: n.Writer, Offset: st.Offset, Chain: st.Chain}
 		},
 		Reach:  n.liveness.Reach,
@@ -299,9 +299,17 @@
 	}
 }
 
+// inForce returns the status once all parts of the instance use the state at
+// its offset.
+func (n *Instance) inForce() replica.Status {
+	st := n.replica.Status()
+	n.router.Feed(st.Offset)
+	return st
+}
+
 func (n *Instance) memberOffset(ctx context.Context, m *state.Member) (uint64, error) {
 	if m.Writer == n.Writer {
-		return n.replica.Status().Offset, nil
+		return n.inForce().Offset, nil
 	}
 	a, err := n.peers.Offset(ctx, m.Addr)
 	return a.Offset, err
