--- a/cli/play.go
+++ b/cli/play.go
@@ -9,6 +9,7 @@
 
 	"jasminelane.example/lane/demo"
 	"jasminelane.example/lane/entry"
+	"jasminelane.example/lane/measure"
 	"jasminelane.example/lane/placement"
 	"jasminelane.example/lane/trace"
 )
@@ -95,3 +96,14 @@
 	}
 	return nil
 }
+
+func runMeasure(t *Tool, f *flags) error {
+	if err := f.parse(0); err != nil {
+		return err
+	}
+	r, err := measure.Run(f.ctx, t.Err)
+	if err != nil {
+		return err
+	}
+	return r.Write(t.Out)
+}
--- /dev/null
+++ b/measure/fleet.go
@@ -0,0 +1,224 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/state"
+)
+
+// Size is the size of a fleet.
+type Size struct {
+	Workers  int
+	GPUs     int // of each worker, or partitions of them
+	Tasks    int
+	Accounts int
+}
+
+// Target is the size to which docs/CAPACITY.md is worked out.
+var Target = Size{Workers: 12_000, GPUs: 16, Tasks: 190_000, Accounts: 94}
+
+// Sizes are a tenth, a half and the whole of the target.
+var Sizes = []Size{
+	{1_200, 16, 19_000, 10},
+	{6_000, 16, 95_000, 47},
+	Target,
+}
+
+const (
+	rackWorkers = 8
+	domains     = 32
+	span        = 8 // workers of one job, with two members each
+)
+
+// fleet folds the life of a fleet into a state and counts what it cost.
+type fleet struct {
+	state *state.State
+	seq   uint64
+	at    int64
+	cost  map[record.Kind]*Cost
+}
+
+// Cost is what records of one kind cost.
+type Cost struct {
+	Records int
+	Bytes   int           // in the log, with a share of their batches
+	Time    time.Duration // to decode and fold
+}
+
+// FoldError reports a record that the fold refused or could not decode.
+type FoldError struct {
+	Outcome state.Outcome
+	Err     error
+}
+
+// Error describes the refusal.
+func (e *FoldError) Error() string {
+	if e.Err != nil {
+		return e.Err.Error()
+	}
+	return fmt.Sprintf("%s refused: %s %s", e.Outcome.Kind, e.Outcome.Reason, e.Outcome.Detail)
+}
+
+// Unwrap returns the codec's error.
+func (e *FoldError) Unwrap() error { return e.Err }
+
+// build returns a fleet of the size in which all tasks run.
+func build(z Size) (*fleet, error) {
+	f := &fleet{state: &state.State{}, at: 1_796_361_383_000, cost: map[record.Kind]*Cost{}}
+	if err := f.racks(z); err != nil {
+		return nil, err
+	}
+	if err := f.accounts(z); err != nil {
+		return nil, err
+	}
+	return f, f.jobs(z)
+}
+
+// apply folds bodies of one kind, batch records in each batch.
+func apply[T any](f *fleet, kind record.Kind, batch int, bodies []T) error {
+	c := f.cost[kind]
+	if c == nil {
+		c = &Cost{}
+		f.cost[kind] = c
+	}
+	for len(bodies) > 0 {
+		n := min(batch, len(bodies))
+		f.seq++
+		f.at += 10
+		b := &record.Batch{Writer: "e17-7KQ2M4ZB5DTA", Seq: f.seq, At: f.at, Reader: 1}
+		for i, body := range bodies[:n] {
+			r, err := record.New(kind, fmt.Sprintf("e17-7KQ2M4ZB5DTA.%d", int(f.seq)*batch+i), body)
+			if err != nil {
+				return &FoldError{Err: err}
+			}
+			b.Records = append(b.Records, r)
+		}
+		data, err := record.Encode(b)
+		if err != nil {
+			return &FoldError{Err: err}
+		}
+		begin := time.Now()
+		got, err := record.Decode(data)
+		if err != nil {
+			return &FoldError{Err: err}
+		}
+		out, err := f.state.Apply(f.state.Offset, got)
+		c.Time += time.Since(begin)
+		if err != nil {
+			return &FoldError{Err: err}
+		}
+		for _, o := range out {
+			if !o.Accepted() {
+				return &FoldError{Outcome: o}
+			}
+		}
+		c.Records += n
+		c.Bytes += len(data)
+		bodies = bodies[n:]
+	}
+	return nil
+}
+
+func (f *fleet) racks(z Size) error {
+	var list []record.Publish
+	for r := range z.Workers / rackWorkers {
+		body := state.RackBody{Domain: fmt.Sprintf("domain%d", r%domains)}
+		for w := range rackWorkers {
+			body.Workers = append(body.Workers, state.WorkerBody{
+				Name: fmt.Sprintf("rack%04d-w%d", r, w), Addr: fmt.Sprintf("10.%d.%d.%d:7000", r/250, r%250, w), GPUs: z.GPUs, Cores: 130, Memory: 250,
+			})
+		}
+		data, err := json.Marshal(body)
+		if err != nil {
+			return &FoldError{Err: err}
+		}
+		list = append(list, record.Publish{Name: fmt.Sprintf("rack/rack%04d", r), Body: data, By: "asha"})
+	}
+	return apply(f, record.KindPublish, 1, list)
+}
+
+func (f *fleet) accounts(z Size) error {
+	data, err := json.Marshal(state.AccountBody{Weight: 1, Guarantees: []state.GuaranteeBody{{Shape: "4x4@rack", Count: 1}}})
+	if err != nil {
+		return &FoldError{Err: err}
+	}
+	var list []record.Publish
+	for a := range z.Accounts {
+		b := record.Block{}
+		for i := range 4 {
+			b.Slots = append(b.Slots, shape.Slot{Worker: uint32(rackWorkers*a + i), Mask: 0xf})
+		}
+		list = append(list, record.Publish{Name: fmt.Sprintf("account/team%d", a), Body: data, Blocks: []record.Block{b}, By: "asha"})
+	}
+	return apply(f, record.KindPublish, 1, list)
+}
+
+// jobs submits, places and starts jobs of 16 members on 8 workers each.
+func (f *fleet) jobs(z Size) error {
+	var submits []record.Submit
+	for n := 0; n+2*span <= z.Tasks; n += 2 * span {
+		id := fmt.Sprintf("1796361383123-%06d", n)
+		submits = append(submits, record.Submit{
+			Job: id, Account: fmt.Sprintf("team%d", n/span%z.Accounts), Kind: "survey", Shape: shape.Shape{Members: 2 * span, GPUs: 1, Level: shape.LevelRack},
+			Checkpoint: true, Expect: 3_600_000, Cores: 1, Memory: 2, Input: "surveys/2026/" + id,
+		})
+	}
+	if err := apply(f, record.KindSubmit, 1, submits); err != nil {
+		return err
+	}
+	racks := z.Workers / rackWorkers
+	var places []record.Place
+	for i, v := range submits {
+		p := record.Place{Job: v.Job, Revision: f.state.Jobs[v.Job].Revision}
+		for w := range span {
+			mask := shape.Mask(3) << (2 * (i / racks))
+			p.Slots = append(p.Slots, shape.Slot{Worker: uint32(i%racks*rackWorkers + w), Mask: mask})
+		}
+		places = append(places, p)
+	}
+	if err := apply(f, record.KindPlace, 1, places); err != nil {
+		return err
+	}
+	var starts []record.Start
+	for i, v := range submits {
+		boots := make([]uint64, span)
+		for k := range boots {
+			boots[k] = 1_796_361_383_000_000 + uint64(i)
+		}
+		starts = append(starts, record.Start{Job: v.Job, Token: f.state.Jobs[v.Job].Token, Boots: boots})
+	}
+	return apply(f, record.KindStart, 1, starts)
+}
+
+// finish reports the members of n jobs as done, one worker in each record.
+func (f *fleet) finish(n int) error {
+	var reports []record.Report
+	for i := range n {
+		j := f.state.Jobs[fmt.Sprintf("1796361383123-%06d", i*2*span)]
+		for _, sl := range j.Slots {
+			reports = append(reports, record.Report{Worker: sl.Worker, Results: []record.Result{
+				{Job: j.ID, Token: j.Token, Outcome: record.OutcomeDone, Ran: 3_600_000, Progress: 1},
+			}})
+		}
+	}
+	return apply(f, record.KindReport, 1, reports)
+}
+
+// claims claims and settles n requests.
+func (f *fleet) claims(n int) error {
+	var claims []record.Claim
+	var settles []record.Settle
+	for i := range n {
+		id := fmt.Sprintf("%d-%08d", f.state.Now, i)
+		claims = append(claims, record.Claim{Request: id, Account: "team0", Service: "badges"})
+		settles = append(settles, record.Settle{Request: id, Fate: record.FateDone})
+	}
+	if err := apply(f, record.KindClaim, 1, claims); err != nil {
+		return err
+	}
+	return apply(f, record.KindSettle, 1, settles)
+}
--- /dev/null
+++ b/measure/sample.go
@@ -0,0 +1,256 @@
+package measure
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"jasminelane.example/lane/peer"
+	"jasminelane.example/lane/placement"
+	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/schedule"
+	"jasminelane.example/lane/shape"
+	"jasminelane.example/lane/snapshot"
+	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/worker"
+)
+
+// Sample is what was measured at one size.
+type Sample struct {
+	Size          Size
+	Kinds         map[record.Kind]Cost
+	StateBytes    float64 // live heap of the state
+	SnapshotBytes float64 // compressed, in the log
+	SplitMillis   float64 // to encode and split a snapshot
+	LoadMillis    float64 // to decode and load it
+	LoadHeap      float64 // bytes obtained for the heap while loading, at most
+	DecideMicros  float64 // processor time of a round that places one urgent job
+}
+
+// Unit is what one exchange costs, apart from the fleet's size.
+type Unit struct {
+	Name   string
+	Bytes  float64 // on the wire, both directions, with headers
+	Micros float64 // processor time of both sides together
+}
+
+// Take measures the fleet of the size.
+func Take(z Size) (*Sample, error) {
+	before := heap()
+	f, err := build(z)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sample{Size: z, Kinds: map[record.Kind]Cost{}, StateBytes: heap() - before}
+	if err := s.snapshot(f.state); err != nil {
+		return nil, err
+	}
+	if err := s.decide(f.state, z); err != nil {
+		return nil, err
+	}
+	if err := f.finish(200); err != nil {
+		return nil, err
+	}
+	if err := f.claims(2000); err != nil {
+		return nil, err
+	}
+	for k, c := range f.cost {
+		s.Kinds[k] = *c
+	}
+	return s, nil
+}
+
+// heap returns the live heap in bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (s *Sample) snapshot(st *state.State) error {
+	begin := time.Now()
+	chunks, err := snapshot.Split(st, "measure")
+	if err != nil {
+		return err
+	}
+	s.SplitMillis = millis(time.Since(begin))
+	var data []byte
+	for _, c := range chunks {
+		data = append(data, c.Data...)
+		s.SnapshotBytes += float64(len(c.Data))
+	}
+	before := heap()
+	begin = time.Now()
+	loaded, err := snapshot.Decode(data)
+	if err != nil {
+		return err
+	}
+	s.LoadMillis = millis(time.Since(begin))
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	s.LoadHeap = float64(m.HeapSys) - before
+	runtime.KeepAlive(loaded)
+	return nil
+}
+
+// decide measures rounds of the scheduler that place one urgent job among all
+// running ones.
+func (s *Sample) decide(st *state.State, z Size) error {
+	const rounds = 50
+	c := &schedule.Scheduler{Index: placement.NewIndex(st), Policy: placement.Policy{Completion: 1, Fragmentation: 1}}
+	rec, err := record.New(record.KindSubmit, "", record.Submit{
+		Job: "urgent", Account: "team0", Kind: "sheet", Shape: shape.Shape{Members: 4, GPUs: 4, Level: shape.LevelRack}, Urgent: true,
+	})
+	if err != nil {
+		return err
+	}
+	out, err := st.Apply(st.Offset, &record.Batch{Writer: "measure", Seq: 1, At: st.Now, Records: []record.Record{rec}})
+	if err != nil {
+		return err
+	}
+	if !out[0].Accepted() {
+		return &FoldError{Outcome: out[0]}
+	}
+	begin := cpu()
+	for i := range rounds {
+		c.Decide(st, st.Now+int64(i))
+	}
+	s.DecideMicros = float64((cpu() - begin).Microseconds()) / rounds
+	st.Touched, st.Moved = nil, nil
+	return nil
+}
+
+// cpu returns the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// counter counts the bytes of the connections that it opens.
+type counter struct{ bytes atomic.Int64 }
+
+func (c *counter) dial(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, c}, nil
+}
+
+func (c *counter) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return c.dial(ctx, addr) },
+	}}
+}
+
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+// Read counts the bytes read.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes written.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// Units measures single exchanges over loopback: a sync of a worker with 16
+// tasks, a poll of the log that returns one entry, and a ping of an instance.
+func Units(ctx context.Context) ([]Unit, error) {
+	f, err := build(Size{Workers: 8, GPUs: 16, Tasks: 128, Accounts: 1})
+	if err != nil {
+		return nil, err
+	}
+	sync, err := unitSync(ctx, f.state)
+	if err != nil {
+		return nil, err
+	}
+	poll, err := unitPoll(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ping, err := unitPing(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return []Unit{sync, poll, ping}, nil
+}
+
+// unit runs the exchange n times after a first one that opens the connection.
+func unit(name string, c *counter, exchange func() error) (Unit, error) {
+	const n = 500
+	if err := exchange(); err != nil {
+		return Unit{}, err
+	}
+	bytes, begin := c.bytes.Load(), cpu()
+	for range n {
+		if err := exchange(); err != nil {
+			return Unit{}, err
+		}
+	}
+	return Unit{name, float64(c.bytes.Load()-bytes) / n, float64((cpu() - begin).Microseconds()) / n}, nil
+}
+
+func unitSync(ctx context.Context, s *state.State) (Unit, error) {
+	server := httptest.NewServer(&standin.Workers{})
+	defer server.Close()
+	c := &counter{}
+	client := &worker.Client{HTTP: c.client()}
+	addr := strings.TrimPrefix(server.URL, "http://")
+	q := worker.Request(s, s.Workers[0], 15_000, "")
+	return unit("sync", c, func() error {
+		_, err := client.Sync(ctx, addr, q)
+		return err
+	})
+}
+
+func unitPoll(ctx context.Context) (Unit, error) {
+	log := &standin.Log{}
+	server := httptest.NewServer(log)
+	defer server.Close()
+	c := &counter{}
+	client := &platform.Log{URL: server.URL, Client: c.client()}
+	log.Append([]byte{0})
+	return unit("poll", c, func() error {
+		_, err := client.Read(ctx, 0, 100, 0)
+		return err
+	})
+}
+
+func unitPing(ctx context.Context) (Unit, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Unit{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &peer.Server{Writer: "e1-7KQ2M4ZB5DTA"}
+	go func() { _ = server.Serve(ctx, l) }()
+	c := &counter{}
+	client := &peer.Client{Dial: c.dial}
+	defer client.Close()
+	return unit("ping", c, func() error { return client.Ping(ctx, l.Addr().String(), "e1-7KQ2M4ZB5DTA") })
+}
