--- a/caller/feed.go
+++ b/caller/feed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +29,7 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		if r.Ready() {
+		if r.steady() {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -46,13 +47,25 @@
 	return r.ready
 }
 
+// Feed updates the table from the state unless it holds the offset already, so
+// that a version is not reported in force before it is used here.
+func (r *Router) Feed(offset uint64) {
+	if r.fed.Load() < offset {
+		r.feed()
+	}
+}
+
 // feed updates the table from the state.
 func (r *Router) feed() {
+	r.feeding.Lock()
+	defer r.feeding.Unlock()
 	var members []string
+	var offset uint64
 	changed := map[string][]byte{}
 	versions := map[string]uint64{}
 	member := false
 	r.View(func(s *state.State) {
+		offset = s.Offset
 		for _, m := range s.Members {
 			members = append(members, m.Writer)
 			member = member || m.Writer == r.Writer
@@ -84,6 +97,7 @@
 	}
 	r.services = versions
 	r.Table.SetMembers(r.Writer, r.usable(member, members))
+	r.fed.Store(offset)
 	if r.Trim != nil {
 		r.Trim()
 	}
@@ -106,8 +120,10 @@
 	}
 }
 
-// usable returns the members for the shares: none until the own join has been
-// in the log for JoinDelay, in which the others reduce theirs.
+// usable returns the members among whom connections are shared: none until
+// the own join has been in the log for JoinDelay, in which the others reduce
+// their shares. A member that left counts for the same time, in which servers
+// notice that its connections are closed.
 func (r *Router) usable(member bool, members []string) []string {
 	delay := r.JoinDelay
 	if delay == 0 {
@@ -115,15 +131,41 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	t := time.Now()
 	switch {
 	case !member:
 		r.joined = time.Time{}
 	case r.joined.IsZero():
-		r.joined = time.Now()
+		r.joined = t
+	}
+	if r.seen == nil {
+		r.seen = map[string]time.Time{}
+	}
+	for _, m := range members {
+		r.seen[m] = t
 	}
-	r.ready = member && !r.drained && time.Since(r.joined) >= delay
+	r.departed = false
+	for m, last := range r.seen {
+		switch {
+		case last == t:
+		case t.Sub(last) >= delay:
+			delete(r.seen, m)
+		default:
+			r.departed = true
+			members = append(members, m)
+		}
+	}
+	r.ready = member && !r.drained && t.Sub(r.joined) >= delay
 	if !r.ready {
 		return nil
 	}
+	slices.Sort(members)
 	return members
 }
+
+// steady reports whether the shares stay as they are until the state changes.
+func (r *Router) steady() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready && !r.departed
+}
