--- a/placement/moves.go
+++ b/placement/moves.go
@@ -11,9 +11,10 @@
 
 // Bounds of moves.
 const (
-	maxMoves     = 4           // jobs a call
-	maxUnitMoves = 3           // jobs that are moved to free one unit
-	moveMinRun   = 10 * 60_000 // milliseconds a job runs before it may be moved again
+	maxMoves     = 8          // jobs a call
+	maxUnitMoves = 8          // jobs that are moved to free one unit
+	moveMinRun   = 2 * 60_000 // milliseconds a job runs before it may be moved again
+	moveShare    = 4          // a moved job has at most this part of the shape; larger ones may wait long for a new place
 )
 
 // Moves returns records that stop checkpointable jobs which, placed elsewhere,
@@ -65,7 +66,7 @@
 	var jobs []*state.Job
 	for _, w := range workers {
 		for _, t := range w.Tasks {
-			if movable(t, now) && !chosen[t.Job] && !slices.Contains(jobs, t.Job) {
+			if movable(t, now) && moveShare*t.Job.Spec.Shape.Total() <= g.shape.Total() && !chosen[t.Job] && !slices.Contains(jobs, t.Job) {
 				jobs = append(jobs, t.Job)
 			}
 		}
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -22,11 +22,12 @@
 	at        int64
 	ends      map[string]int64 // run times by job, in milliseconds
 	faulty    map[uint32]bool  // workers that fail every task
+	kept      map[string]int64 // start up to which ends counts a job's work
 	log       []record.Record  // what the scheduler proposed
 }
 
 func newCluster(t rapid.TB, domains, racks, workers, gpus int) *cluster {
-	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000, ends: map[string]int64{}, faulty: map[uint32]bool{}}
+	c := &cluster{t: t, state: &state.State{}, at: 1_800_000_000_000, ends: map[string]int64{}, faulty: map[uint32]bool{}, kept: map[string]int64{}}
 	for d := range domains {
 		for r := range racks {
 			body := state.RackBody{Domain: fmt.Sprintf("d%d", d)}
@@ -134,6 +135,7 @@
 			over := t.Phase == state.TaskRun && c.at-t.Job.Started >= c.ends[t.Job.ID]
 			switch {
 			case t.Phase == state.TaskStopping:
+				c.checkpoint(t)
 				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeStopped})
 			case t.Phase == state.TaskRun && c.faulty[w.Index]:
 				results = append(results, record.Result{Job: t.Job.ID, Token: t.Token, Outcome: record.OutcomeFailed})
@@ -152,6 +154,15 @@
 	}
 }
 
+// checkpoint shortens the rest of a job that resumes where it stopped.
+func (c *cluster) checkpoint(t *state.Task) {
+	j := t.Job
+	if j.Spec.Checkpoint && j.Started > c.kept[j.ID] && t.Token == j.Token {
+		c.ends[j.ID] -= c.at - j.Started
+		c.kept[j.ID] = j.Started
+	}
+}
+
 // jobs returns all jobs by age.
 func (c *cluster) jobs() []*state.Job {
 	return sortedJobs(c.state, func(*state.Job) bool { return true })
