Choose moves by whole workers

Cause: moves took the cheapest jobs of a rack in turn, which often freed no worker, and left alone racks that fit the largest shape but had partly used workers. Change: moves empty whole workers, as many as the unit lacks members, or single ones where the unit fits already; the gain is weighed as before.

--- a/placement/moves.go
+++ b/placement/moves.go
@@ -18,10 +18,10 @@
 )
 
 // Moves returns records that stop checkpointable jobs which, placed elsewhere,
-// leave room for the largest guaranteed shape, where that gain in
-// fragmentation exceeds the lost work; now is in Unix milliseconds. It looks at
-// shapes of level worker and rack only: to free a failure domain would move too
-// much work.
+// leave whole members or whole units free for the largest guaranteed shape,
+// where that gain in fragmentation exceeds the lost work; now is in Unix
+// milliseconds. It looks at shapes of level worker and rack only: to free a
+// failure domain would move too much work.
 func Moves(x *Index, p Policy, now int64) []record.Preempt {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -29,118 +29,135 @@
 	if len(x.goals) == 0 || x.goals[0].shape.Level == shape.LevelDomain {
 		return nil
 	}
-	g := x.goals[0]
-	var out []record.Preempt
-	var held []shape.Slot
-	chosen := map[*state.Job]bool{} // a gang may lie in several units
-	for u := range g.units {
-		n := g.units[u].members
-		if n >= g.shape.Members || g.units[u].free == 0 {
-			continue
-		}
-		jobs, targets := x.clear(g, u, chosen, p, now)
-		if len(jobs) == 0 || len(out)+len(jobs) > maxMoves {
-			continue
-		}
-		for _, j := range jobs {
-			chosen[j] = true
-			out = append(out, record.Preempt{
-				Job: j.ID, Token: j.Token, Grace: p.grace(false),
-				Cause: "moved to free adjacent accelerators for " + g.shape.String(),
-			})
-		}
-		x.setHeld(targets, true)
-		held = append(held, targets...)
-		if len(out) == maxMoves {
-			break
+	m := &mover{x: x, goal: x.goals[0], policy: p, now: now, chosen: map[*state.Job]bool{}}
+	for u := range m.goal.units {
+		if n := m.goal.units[u]; n.free > 0 && len(m.out) < maxMoves {
+			m.unit(u, m.goal.shape.Members-n.members)
 		}
 	}
-	x.setHeld(held, false)
-	return out
+	x.setHeld(m.held, false)
+	return m.out
 }
 
-// clear returns the jobs whose move makes the unit fit the goal's shape, and
-// where they would go, or nothing if the gain does not exceed the lost work.
-func (x *Index) clear(g *goal, unit int, chosen map[*state.Job]bool, p Policy, now int64) ([]*state.Job, []shape.Slot) {
-	workers := unitWorkers(x.state, g.shape.Level, unit)
-	var jobs []*state.Job
-	for _, w := range workers {
-		for _, t := range w.Tasks {
-			if movable(t, now) && moveShare*t.Job.Spec.Shape.Total() <= g.shape.Total() && !chosen[t.Job] && !slices.Contains(jobs, t.Job) {
-				jobs = append(jobs, t.Job)
-			}
+// mover collects the moves of one call.
+type mover struct {
+	x      *Index
+	goal   *goal
+	policy Policy
+	now    int64
+	chosen map[*state.Job]bool // a gang may lie in several units
+	held   []shape.Slot        // where chosen jobs would go, and what they leave
+	out    []record.Preempt
+}
+
+// emptying is what it takes to empty a worker.
+type emptying struct {
+	worker *state.Worker
+	jobs   []*state.Job
+	lost   float64 // accelerator-milliseconds
+}
+
+// unit moves jobs off as many workers as the unit lacks members, or off single
+// workers if it fits the shape already.
+func (m *mover) unit(u, lacks int) {
+	var list []emptying
+	for _, w := range unitWorkers(m.x.state, m.goal.shape.Level, u) {
+		if e, ok := m.emptying(w); ok {
+			list = append(list, e)
 		}
 	}
-	slices.SortStableFunc(jobs, func(a, b *state.Job) int {
-		return cmp.Or(cmp.Compare(lostWork(a, now), lostWork(b, now)), cmp.Compare(a.ID, b.ID))
-	})
-	after := map[uint32]shape.Mask{}
-	var moved []*state.Job
-	for _, j := range jobs {
-		if len(moved) == maxUnitMoves {
-			return nil, nil
+	slices.SortStableFunc(list, func(a, b emptying) int { return cmp.Compare(a.lost, b.lost) })
+	if lacks <= 0 {
+		for i := range list {
+			m.try(list[i : i+1])
 		}
-		moved = append(moved, j)
-		for _, sl := range j.Slots {
-			if _, ok := after[sl.Worker]; !ok {
-				after[sl.Worker] = x.nodes[sl.Worker].masks[tierFree]
-			}
-			after[sl.Worker] |= sl.Mask
+		return
+	}
+	for n := range list {
+		if lacks -= m.gains(list[n].worker); lacks <= 0 {
+			m.try(list[:n+1])
+			return
 		}
-		members := 0
-		for _, w := range workers {
-			m, ok := after[w.Index]
-			if !ok {
-				m = x.nodes[w.Index].masks[tierFree]
-			}
-			members += m.Count() / g.shape.GPUs
+	}
+}
+
+// gains returns how many members more fit on the worker when it is empty.
+func (m *mover) gains(w *state.Worker) int {
+	n := m.goal.shape.GPUs
+	return w.GPUs/n - m.x.nodes[w.Index].masks[tierFree].Count()/n
+}
+
+// emptying returns the jobs on the worker if all of them can be moved and at
+// least one member is gained.
+func (m *mover) emptying(w *state.Worker) (emptying, bool) {
+	e := emptying{worker: w}
+	if !w.Ready() || len(w.Tasks) == 0 || m.gains(w) <= 0 || m.x.nodes[w.Index].held != 0 {
+		return e, false
+	}
+	for _, t := range w.Tasks {
+		if !m.movable(t) {
+			return e, false
 		}
-		if members >= g.shape.Members {
-			return x.weigh(workers, moved, after, p, now)
+		if !slices.Contains(e.jobs, t.Job) {
+			e.jobs = append(e.jobs, t.Job)
+			e.lost += lostWork(t.Job, m.now)
 		}
 	}
-	return nil, nil
+	return e, true
 }
 
 // movable reports whether the task's job may be stopped to be placed again.
-func movable(t *state.Task, now int64) bool {
+func (m *mover) movable(t *state.Task) bool {
 	j := t.Job
 	return j.Phase == state.JobRunning && t.Token == j.Token && j.Spec.Checkpoint && !j.Spec.Once &&
-		!j.Guaranteed && now-j.Started >= moveMinRun
+		!j.Guaranteed && !m.chosen[j] && m.now-j.Started >= moveMinRun &&
+		moveShare*j.Spec.Shape.Total() <= m.goal.shape.Total()
 }
 
-// weigh finds room for the moved jobs outside the workers and compares the
-// gain with the lost work.
-func (x *Index) weigh(workers []*state.Worker, moved []*state.Job, after map[uint32]shape.Mask, p Policy, now int64) ([]*state.Job, []shape.Slot) {
-	completion, fragmentation := p.weights()
-	var free, targets []shape.Slot
-	for w, m := range after {
-		free = append(free, shape.Slot{Worker: w, Mask: m})
-	}
-	gain := -x.damage(free)
-	lost := 0.0
-	var own []shape.Slot
-	for _, w := range workers {
-		if m := x.nodes[w.Index].masks[tierFree]; m != 0 {
-			own = append(own, shape.Slot{Worker: w.Index, Mask: m})
+// try proposes to empty the workers if there is room for their jobs elsewhere
+// and the gain exceeds the lost work.
+func (m *mover) try(list []emptying) {
+	x := m.x
+	completion, fragmentation := m.policy.weights()
+	var jobs []*state.Job
+	var own, after, targets []shape.Slot
+	for _, e := range list {
+		for _, j := range e.jobs {
+			if !slices.Contains(jobs, j) {
+				jobs = append(jobs, j)
+			}
 		}
+		free := x.nodes[e.worker.Index].masks[tierFree]
+		own = append(own, shape.Slot{Worker: e.worker.Index, Mask: e.worker.All()})
+		after = append(after, shape.Slot{Worker: e.worker.Index, Mask: free | e.worker.Used()})
+	}
+	if len(m.out)+len(jobs) > maxMoves {
+		return
 	}
+	gain, lost := -x.damage(after), 0.0
 	x.setHeld(own, true)
-	for _, j := range moved {
+	for _, j := range jobs {
 		c := x.search(j, tierOpen, spaceAll)
 		if c.slots == nil {
-			lost = -1
+			gain = 0
 			break
 		}
 		gain -= c.damage
-		lost += lostWork(j, now)
+		lost += lostWork(j, m.now)
 		x.setHeld(c.slots, true)
 		targets = append(targets, c.slots...)
 	}
-	x.setHeld(targets, false)
-	x.setHeld(own, false)
-	if lost < 0 || fragmentation*gain*fragmentHorizon <= completion*lost {
-		return nil, nil
+	if fragmentation*gain*fragmentHorizon <= completion*lost {
+		x.setHeld(targets, false)
+		x.setHeld(own, false)
+		return
+	}
+	m.held = append(append(m.held, targets...), own...)
+	for _, j := range jobs {
+		m.chosen[j] = true
+		m.out = append(m.out, record.Preempt{
+			Job: j.ID, Token: j.Token, Grace: m.policy.grace(false),
+			Cause: "moved to free adjacent accelerators for " + m.goal.shape.String(),
+		})
 	}
-	return moved, targets
 }
