Send slow requests to a second server instead of ending them, keep slots

Cause: an attempt of a repeatable request was ended after the least patience of 500 ms, so a service that takes longer never answered and its time was never learned; a lost failure domain used up four tries on refused connections; the shedding target of 5 ms sheds requests of 10 s for any wait; a wave of long bulk requests took all slots from urgent ones. Ruled out: a longer patience alone, which makes callers wait for stalled servers; one service time for each service, because kinds of requests differ by a factor of 100 within one. Change: after the patience the request goes to a second server too, within the retry budget, and the first answer counts. Service times are learned for each class; patience, stall detection, age of reports and the shedding target follow them. Refused connections and failed probes open the breaker at once and count neither as attempts nor in the budget. An eighth of the slots is kept from normal requests and a quarter from bulk ones; Pick takes the class. The trace's request path follows.

--- a/caller/router.go
+++ b/caller/router.go
@@ -16,9 +16,17 @@
 	"jasminelane.example/lane/state"
 )
 
-// maxAttempts bounds how often one request is sent or probed for; the retry
-// budget is usually the tighter limit.
-const maxAttempts = 4
+// Limits of one request. A try that ends before the request is sent, such as
+// a refused connection, costs servers next to nothing and is not in the retry
+// budget; with a failure domain lost several servers may refuse in a row.
+const (
+	maxAttempts = 4  // sent
+	maxTries    = 32 // in all; a lost failure domain may hold that many servers
+)
+
+// firstWait is the time until a second attempt while the usual service time
+// is not known.
+const firstWait = 500 * time.Millisecond
 
 // Router sends callers' requests to backend servers. Fields are set before
 // use; it is safe for concurrent use.
@@ -96,43 +104,131 @@
 	}
 }
 
+// attempt is the end of one try at a server.
+type attempt struct {
+	answer *backend.Answer
+	fail   *backend.Error
+	sent   bool // more than a probe was sent
+}
+
 // run sends the request until it is answered, cannot be retried, or its
-// deadline passes.
+// deadline passes. A repeatable request that waits for longer than usual is
+// sent to a second server too, within the retry budget, and the first answer
+// counts: ending the first attempt instead would lose requests that only take
+// longer than others.
 func (r *Router) run(ctx context.Context, q *Request) Answer {
 	r.Budget.Request(now())
-	var exclude []string
-	maybe := false // an attempt may have run
-	end := func(reason route.Reason, detail string, after int64) Answer {
-		if maybe {
-			return unknown(reason, detail)
-		}
-		return notRun(reason, detail, after)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &work{r: r, q: q, ends: make(chan attempt, maxTries)}
+	s, err := r.acquire(ctx, q, nil)
+	if err != nil {
+		return w.end(err.Reason, string(err.Cause), err.RetryAfter)
 	}
-	for attempt := 1; ; attempt++ {
-		s, err := r.acquire(ctx, q, exclude)
-		if err != nil {
-			return end(err.Reason, string(err.Cause), err.RetryAfter)
+	for {
+		w.start(ctx, s)
+		a, ok := w.await(ctx)
+		if ok {
+			return Answer{Fate: record.FateDone, Status: a.answer.Status, Body: a.answer.Body}
 		}
-		a, fail := r.send(ctx, q, s)
-		if fail == nil {
-			return Answer{Fate: record.FateDone, Status: a.Status, Body: a.Body}
-		}
-		maybe = maybe || !fail.NotRun
+		fail := a.fail
 		switch {
-		case maybe && !q.Repeatable, ctx.Err() != nil, attempt == maxAttempts:
-			return end(fail.Reason, failDetail(fail), 200)
-		case !r.Budget.Retry(now()):
+		case w.maybe && !q.Repeatable, ctx.Err() != nil, w.sent >= maxAttempts, w.tries >= maxTries:
+			return w.end(fail.Reason, failDetail(fail), 200)
+		case a.sent && !r.Budget.Retry(now()):
 			r.count("refused", route.ReasonBudget)
-			return end(route.ReasonBudget, string(fail.Reason), 1000)
+			return w.end(route.ReasonBudget, string(fail.Reason), 1000)
 		}
 		r.count("retry", fail.Reason)
-		exclude = append(exclude, s.Addr)
-		if !pause(ctx, route.Jitter(attempt, 10, 200, rand.Float64)) {
-			return end(ended(ctx), string(fail.Reason), 0)
+		// The delay keeps retries of many callers apart; without anything sent
+		// there is no load to spread.
+		if a.sent && !pause(ctx, route.Jitter(w.tries, 10, 200, rand.Float64)) {
+			return w.end(ended(ctx), string(fail.Reason), 0)
+		}
+		if s, err = r.acquire(ctx, q, w.exclude); err != nil {
+			return w.end(err.Reason, string(fail.Reason), err.RetryAfter)
+		}
+	}
+}
+
+// work is the state of one run.
+type work struct {
+	r       *Router
+	q       *Request
+	ends    chan attempt
+	exclude []string // servers that were tried
+	tries   int
+	sent    int // of the tries, those that sent the request
+	running int
+	maybe   bool // an attempt may have run
+	wait    time.Duration
+}
+
+func (w *work) end(reason route.Reason, detail string, after int64) Answer {
+	if w.maybe {
+		return unknown(reason, detail)
+	}
+	return notRun(reason, detail, after)
+}
+
+func (w *work) start(ctx context.Context, s *route.Server) {
+	w.tries++
+	w.running++
+	w.exclude = append(w.exclude, s.Addr)
+	w.wait = time.Duration(w.r.Table.Patience(s, w.q.Class)) * time.Millisecond
+	if w.r.Table.Usual(w.q.Service, w.q.Class) == 0 {
+		w.wait = min(w.wait, firstWait) // the first server that an instance tries may be a stalled one
+	}
+	go func() {
+		a := attempt{}
+		a.answer, a.fail, a.sent = w.r.send(ctx, w.q, s)
+		w.ends <- a
+	}()
+}
+
+// await returns the first answer, or the last failure when no attempt runs
+// any more.
+func (w *work) await(ctx context.Context) (attempt, bool) {
+	t := time.NewTimer(w.wait)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-w.ends:
+			w.running--
+			if a.sent {
+				w.sent++
+			}
+			if a.fail == nil {
+				return a, true
+			}
+			w.maybe = w.maybe || !a.fail.NotRun
+			if w.running == 0 {
+				return a, false
+			}
+		case <-t.C:
+			if w.q.Repeatable && w.tries < maxAttempts {
+				w.another(ctx)
+				t.Reset(w.wait)
+			}
 		}
 	}
 }
 
+// another starts one more attempt if a server is free at once.
+func (w *work) another(ctx context.Context) {
+	s, err := w.r.Table.Pick(w.q.Service, now(), w.exclude, w.q.Class)
+	if err != nil {
+		return
+	}
+	if !w.r.Budget.Retry(now()) {
+		w.r.count("refused", route.ReasonBudget)
+		w.r.Table.Done(s, now(), route.Result{Verdict: route.Dropped, Class: w.q.Class})
+		return
+	}
+	w.r.count("retry", route.ReasonTimeout)
+	w.start(ctx, s)
+}
+
 func failDetail(e *backend.Error) string {
 	if e.Err == nil {
 		return ""
@@ -142,42 +238,35 @@
 
 // send probes the server if need be, sends the request once, and tells the
 // table what it learned.
-func (r *Router) send(ctx context.Context, q *Request, s *route.Server) (*backend.Answer, *backend.Error) {
+func (r *Router) send(ctx context.Context, q *Request, s *route.Server) (a *backend.Answer, fail *backend.Error, sent bool) {
 	res := route.Result{Verdict: route.Dropped}
 	defer func() {
+		res.Class = q.Class
 		r.Table.Done(s, now(), res)
 		r.pump()
 	}()
-	patience := time.Duration(r.Table.Patience(s)) * time.Millisecond
+	patience := time.Duration(r.Table.Patience(s, q.Class)) * time.Millisecond
 	if !r.Table.Fresh(s, now()) {
 		if err := r.check(ctx, s, patience, &res); err != nil {
-			return nil, err
+			return nil, err, false
 		}
 	}
 	if ctx.Err() != nil || !q.Deadline.After(time.Now()) {
-		return nil, &backend.Error{Reason: ended(ctx), NotRun: true}
-	}
-	// A request that cannot be sent elsewhere waits as long as it may.
-	if q.Repeatable {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, patience)
-		defer cancel()
+		return nil, &backend.Error{Reason: ended(ctx), NotRun: true}, false
 	}
 	begin := time.Now()
 	a, err := r.Send(ctx, s.Addr, &backend.Request{
 		ID: q.ID, Service: q.Service, Account: q.Account, Repeatable: q.Repeatable, Body: q.Body,
 	})
+	took := time.Since(begin)
 	if err != nil {
 		fail := failure(err)
-		res = result(fail)
-		if fail.Reason == route.ReasonTimeout && time.Since(begin) < patience {
-			res.Verdict = route.Late
-		}
-		return nil, fail
+		res = result(fail, took >= patience)
+		return nil, fail, fail.Reason != route.ReasonConnect && fail.Reason != route.ReasonConnections
 	}
 	res = told(a.Notice)
-	res.Verdict, res.Fault, res.Took = route.Answered, a.Status >= 500, time.Since(begin).Milliseconds()
-	return a, nil
+	res.Verdict, res.Fault, res.Took = route.Answered, a.Status >= 500, took.Milliseconds()
+	return a, nil, true
 }
 
 // check probes the server; an error says why it gets no work.
@@ -193,7 +282,7 @@
 		fail := failure(err)
 		fail.NotRun = true // nothing but the probe was sent
 		if ctx.Err() == nil && fail.Reason != route.ReasonConnections {
-			res.Verdict = route.Failed
+			res.Verdict = route.Gone
 		}
 		return fail
 	}
@@ -216,18 +305,31 @@
 	return route.Result{Loaded: n.Loaded, Busy: n.Busy, Leaving: n.Leaving}
 }
 
-func result(e *backend.Error) route.Result {
-	switch {
-	case e.Told:
+// result classifies a failure; patient says that the server had as long as
+// it usually needs.
+func result(e *backend.Error, patient bool) route.Result {
+	switch e.Reason {
+	case route.ReasonConnections, route.ReasonDeadline, route.ReasonField:
+		if !e.Told {
+			return route.Result{Verdict: route.Dropped}
+		}
+	case route.ReasonConnect:
+		return route.Result{Verdict: route.Gone}
+	case route.ReasonTimeout:
+		if !patient {
+			return route.Result{Verdict: route.Late}
+		}
+	case route.ReasonCancelled: // the caller went away, or another server answered first
+		if !patient {
+			return route.Result{Verdict: route.Dropped}
+		}
+	}
+	if e.Told {
 		res := told(e.Notice)
 		res.Verdict = route.Refused
 		return res
-	case e.Reason == route.ReasonCancelled, e.Reason == route.ReasonConnections,
-		e.Reason == route.ReasonDeadline, e.Reason == route.ReasonField:
-		return route.Result{Verdict: route.Dropped}
-	default:
-		return route.Result{Verdict: route.Failed}
 	}
+	return route.Result{Verdict: route.Failed}
 }
 
 func ended(ctx context.Context) route.Reason {
--- a/caller/wait.go
+++ b/caller/wait.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -29,8 +30,8 @@
 	r.mu.Lock()
 	// Looked up before the queue is made, so that made-up services take no memory.
 	queue := r.queues[q.Service]
-	if queue == nil || queue.Len() == 0 {
-		s, err := r.pick(q.Service, exclude)
+	if queue == nil || queue.Ahead(q.Class) == 0 {
+		s, err := r.pick(q, exclude)
 		if err == nil {
 			r.mu.Unlock()
 			return s, nil
@@ -41,6 +42,8 @@
 		}
 	}
 	queue = r.queue(q.Service)
+	// With the first requests it cannot be told whether they wait for long.
+	queue.Usual[q.Class] = cmp.Or(r.Table.Usual(q.Service, q.Class), route.UnknownTime)
 	w := &waiter{make(chan grant, 1)}
 	it := &route.Item{
 		Account: q.Account, Class: q.Class, Value: w,
@@ -65,7 +68,7 @@
 	r.mu.Unlock()
 	if !removed {
 		if g := <-w.grant; g.server != nil {
-			r.Table.Done(g.server, now(), route.Result{Verdict: route.Dropped})
+			r.Table.Done(g.server, now(), route.Result{Verdict: route.Dropped, Class: q.Class})
 			r.pump()
 		}
 	}
@@ -82,9 +85,9 @@
 		if addr != g.server.Addr {
 			continue
 		}
-		s, err := r.Table.Pick(q.Service, now(), exclude)
+		s, err := r.Table.Pick(q.Service, now(), exclude, q.Class)
 		if err == nil {
-			r.Table.Done(g.server, now(), route.Result{Verdict: route.Dropped})
+			r.Table.Done(g.server, now(), route.Result{Verdict: route.Dropped, Class: q.Class})
 			r.pump()
 			return s, nil
 		}
@@ -94,10 +97,10 @@
 
 // pick prefers servers outside exclude and falls back to all, since only work
 // that may run again is picked for again.
-func (r *Router) pick(service string, exclude []string) (*route.Server, *route.RefusedError) {
-	s, err := r.Table.Pick(service, now(), exclude)
+func (r *Router) pick(q *Request, exclude []string) (*route.Server, *route.RefusedError) {
+	s, err := r.Table.Pick(q.Service, now(), exclude, q.Class)
 	if err != nil && len(exclude) > 0 {
-		s, err = r.Table.Pick(service, now(), nil)
+		s, err = r.Table.Pick(q.Service, now(), nil, q.Class)
 	}
 	if err != nil {
 		return nil, refused(err)
@@ -134,11 +137,12 @@
 func (r *Router) pump() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	waiting := false
+	waiting, at := false, now()
 	for service, q := range r.queues {
-		expire(q.Expire(now()), r.blocked[service])
+		expire(q.Expire(at), r.blocked[service])
 		for q.Len() > 0 {
-			s, err := r.Table.Pick(service, now(), nil)
+			// A class that gets no server leaves none to those below it.
+			s, err := r.Table.Pick(service, at, nil, q.Next().Class)
 			if err != nil {
 				if r.blocked == nil {
 					r.blocked = map[string]route.Reason{}
@@ -146,12 +150,7 @@
 				r.blocked[service] = refused(err).Reason
 				break
 			}
-			it, expired := q.Pop(now())
-			expire(expired, r.blocked[service])
-			if it == nil {
-				r.Table.Done(s, now(), route.Result{Verdict: route.Dropped})
-				break
-			}
+			it, _ := q.Pop(at) // the next one: what is past its deadline was taken out above
 			it.Value.(*waiter).grant <- grant{server: s}
 		}
 		waiting = waiting || q.Len() > 0
--- a/route/breaker.go
+++ b/route/breaker.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// gone opens the breaker at once: a server that takes no connection or does
+// not answer a probe cannot be at fault because of a request.
+func (b *breaker) gone(now int64, random func() float64) {
+	b.failures++
+	if b.until == 0 || b.trial {
+		b.trip(now, random)
+	}
+}
+
 func (b *breaker) fault(now int64, random func() float64) {
 	b.faults++
 	if b.until == 0 && b.faults >= breakerFaults || b.trial {
--- a/route/queue.go
+++ b/route/queue.go
@@ -18,10 +18,11 @@
 // delay stays above Target for Interval sheds new arrivals until the delay is
 // below Target again. It is not safe for concurrent use.
 type Queue struct {
-	Limit    int   // waiting requests of one account; default 256
-	Total    int   // waiting requests in all; default 4096
-	Target   int64 // standing delay, milliseconds; default 5
-	Interval int64 // milliseconds; default 100
+	Limit    int            // waiting requests of one account; default 256
+	Total    int            // waiting requests in all; default 4096
+	Target   int64          // standing delay, milliseconds; default 5
+	Interval int64          // milliseconds; default 100
+	Usual    [classes]int64 // usual service time, milliseconds; may change at any time
 
 	heaps    [classes]itemHeap
 	shedding [classes]shedState
@@ -39,6 +40,26 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.size }
 
+// Next returns the item that Pop returns next unless its deadline passes, or
+// nil.
+func (q *Queue) Next() *Item {
+	for _, h := range q.heaps {
+		if len(h) > 0 {
+			return h[0]
+		}
+	}
+	return nil
+}
+
+// Ahead returns how many waiting requests go before a new one of the class.
+func (q *Queue) Ahead(c Class) int {
+	n := 0
+	for _, h := range q.heaps[:c+1] {
+		n += len(h)
+	}
+	return n
+}
+
 // Push adds the item; it fails with *RefusedError.
 func (q *Queue) Push(now int64, it *Item) error {
 	if it.Deadline <= now {
@@ -62,12 +83,12 @@
 func (q *Queue) Admit(now int64, account string, c Class) error {
 	limit, total := orDefault(q.Limit, 256), orDefault(q.Total, 4096)
 	if q.accounts[account] >= limit || q.size >= total {
-		return &RefusedError{Reason: ReasonQueue, RetryAfter: 10 * q.interval()}
+		return &RefusedError{Reason: ReasonQueue, RetryAfter: 10 * q.interval(c)}
 	}
 	delay := q.delay(now, c)
 	q.observe(now, c, delay)
-	if q.shedding[c].on && delay > q.target() {
-		return &RefusedError{Reason: ReasonShed, RetryAfter: max(q.interval(), 2*delay)}
+	if q.shedding[c].on && delay > q.target(c) {
+		return &RefusedError{Reason: ReasonShed, RetryAfter: max(q.interval(c), 2*delay)}
 	}
 	return nil
 }
@@ -132,12 +153,12 @@
 
 func (q *Queue) observe(now int64, c Class, delay int64) {
 	s := &q.shedding[c]
-	if delay <= q.target() {
+	if delay <= q.target(c) {
 		s.above = 0
 		if s.on && s.below == 0 {
 			s.below = now
 		}
-		if s.on && now-s.below >= q.interval() {
+		if s.on && now-s.below >= q.interval(c) {
 			*s = shedState{}
 		}
 		return
@@ -146,13 +167,15 @@
 	if s.above == 0 {
 		s.above = now
 	}
-	if now-s.above >= q.interval() {
+	if now-s.above >= q.interval(c) {
 		s.on = true
 	}
 }
 
-func (q *Queue) target() int64   { return orDefault(q.Target, 5) }
-func (q *Queue) interval() int64 { return orDefault(q.Interval, 100) }
+// target and interval grow for services that take longer than Interval: with
+// requests of 10 s a wait of 5 ms for a tenth of a second is no overload.
+func (q *Queue) target(c Class) int64   { return max(orDefault(q.Target, 5), q.Usual[c]/20) }
+func (q *Queue) interval(c Class) int64 { return max(orDefault(q.Interval, 100), q.Usual[c]) }
 
 func orDefault[T int | int64](v, d T) T {
 	if v == 0 {
--- a/route/queue_test.go
+++ b/route/queue_test.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// A service with long requests must not be shed for waits that are short for
+// it, and must be when they last.
+func TestSheddingLongRequests(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{Usual: [classes]int64{10_000}} // target 500 ms, for 10 s
+	push := func(now int64) error { return q.Push(now, &Item{Deadline: now + 100_000}) }
+	is.NoErr(push(1))
+	is.NoErr(push(1000))
+	is.NoErr(push(9000))
+	is.Equal(reason(push(11_100)), ReasonShed)
+}
+
 // Retries must stay within their share whatever the order of events.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/route/table.go
+++ b/route/table.go
@@ -1,7 +1,7 @@
 package route
 
 import (
-	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -15,7 +15,7 @@
 // knows of them. Fields are set before use. It is safe for concurrent use.
 type Table struct {
 	Random     func() float64 // in [0, 1); default math/rand/v2
-	ReportAge  int64          // reported load counts less with age and nothing after this, milliseconds; default 1000
+	ReportAge  int64          // reported load counts less with age and nothing after this or the usual service time, milliseconds; default 1000
 	StallAfter int64          // a server with requests in flight that says nothing for this long is stalled, milliseconds; default 500
 	FreshFor   int64          // a server not heard for this long is asked before it gets work, milliseconds; default 2000
 	LeaveFor   int64          // a leaving mark from a header holds for this long, milliseconds; default 60000
@@ -31,6 +31,7 @@
 type service struct {
 	body    *state.ServiceBody
 	servers []*Server
+	usual   [classes]float64 // service time of each class, milliseconds; 0 when not known
 }
 
 // Server is one backend server. Its address identifies it in all services.
@@ -47,12 +48,13 @@
 	listed      bool // leaving by the instance list
 	leaving     int64
 	inflight    int
-	busy        int   // requests that the server last reported
-	own         int   // of these, in flight from this instance
-	reported    int64 // time of that report
-	heard       int64 // time of the last word from the server
-	silent      int64 // since when, with requests in flight, it has said nothing
-	service     float64
+	flight      [classes]int // inflight by class
+	busy        int          // requests that the server last reported
+	own         int          // of these, in flight from this instance
+	reported    int64        // time of that report
+	heard       int64        // time of the last word from the server
+	silent      int64        // since when, with requests in flight, it has said nothing
+	home        *service     // the first by name that it belongs to
 	breaker     breaker
 }
 
@@ -63,7 +65,8 @@
 const (
 	Answered Verdict = iota // a complete answer
 	Refused                 // the server refused: busy or leaving
-	Failed                  // no connection, no answer in time, or a damaged one
+	Failed                  // no answer in time, or a damaged one
+	Gone                    // no connection, or no answer to a probe
 	Late                    // the caller's deadline passed before the server's patience did
 	Dropped                 // given up for reasons of the caller, or never sent; says nothing about the server
 )
@@ -71,6 +74,7 @@
 // Result is what became of one request to a server.
 type Result struct {
 	Verdict Verdict
+	Class   Class // of the request
 	Fault   bool  // the answer has a 5xx status
 	Loaded  bool  // Busy is valid
 	Busy    int   // requests running or waiting in the server
@@ -89,7 +93,11 @@
 	if body == nil {
 		delete(t.services, name)
 	} else {
-		t.services[name] = &service{body: body}
+		v := &service{body: body}
+		if old := t.services[name]; old != nil {
+			v.usual = old.usual
+		}
+		t.services[name] = v
 	}
 	t.rebuild()
 }
@@ -99,7 +107,8 @@
 func (t *Table) rebuild() {
 	old := t.servers
 	t.servers = map[string]*Server{}
-	for _, v := range t.services {
+	for _, name := range slices.Sorted(maps.Keys(t.services)) {
+		v := t.services[name]
 		v.servers = v.servers[:0]
 		for _, b := range v.body.Servers {
 			s := t.servers[b.Addr]
@@ -109,11 +118,11 @@
 				s.retired = s.retired || b.Leaving
 			case old[b.Addr] != nil && old[b.Addr].Name == b.Name:
 				s = old[b.Addr]
-				s.slots, s.connections, s.retired = b.Slots, b.Connections, b.Leaving
+				s.slots, s.connections, s.retired, s.home = b.Slots, b.Connections, b.Leaving, v
 			default:
 				s = &Server{
 					Name: b.Name, Addr: b.Addr, Domain: b.Domain,
-					slots: b.Slots, connections: b.Connections, retired: b.Leaving,
+					slots: b.Slots, connections: b.Connections, retired: b.Leaving, home: v,
 				}
 			}
 			t.servers[b.Addr] = s
@@ -197,7 +206,7 @@
 // Pick chooses a server by the power of two choices and counts the request as
 // in flight there until Done. Servers whose address is in exclude are not
 // chosen. It fails with *RefusedError.
-func (t *Table) Pick(name string, now int64, exclude []string) (*Server, error) {
+func (t *Table) Pick(name string, now int64, exclude []string, c Class) (*Server, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.services[name]
@@ -214,13 +223,13 @@
 		if !ok || test && s.inflight >= s.share {
 			continue
 		}
-		if s.inflight >= t.limit(s, now) {
+		if s.inflight >= t.limit(s, now, c) {
 			full = true
 			continue
 		}
 		if test {
 			s.breaker.trial = true
-			t.begin(s, now)
+			t.begin(s, now, c)
 			return s, nil
 		}
 		open = append(open, s)
@@ -235,19 +244,20 @@
 	s := open[t.intn(len(open))]
 	if len(open) > 1 {
 		o := open[t.intn(len(open))]
-		if cmp.Compare(t.score(o, now), t.score(s, now)) < 0 {
+		if t.score(o, now, c) < t.score(s, now, c) {
 			s = o
 		}
 	}
-	t.begin(s, now)
+	t.begin(s, now, c)
 	return s, nil
 }
 
-func (t *Table) begin(s *Server, now int64) {
+func (t *Table) begin(s *Server, now int64, c Class) {
 	if s.inflight == 0 {
 		s.silent = now
 	}
 	s.inflight++
+	s.flight[c]++
 }
 
 // Done ends a request that Pick counted.
@@ -256,6 +266,7 @@
 	defer t.mu.Unlock()
 	own := s.inflight
 	s.inflight--
+	s.flight[r.Class]--
 	switch r.Verdict {
 	case Answered, Refused:
 		t.hear(s, now, r, own)
@@ -266,13 +277,12 @@
 			s.breaker.success() // a refusal too shows that the server is neither stalled nor gone
 		}
 		if r.Verdict == Answered {
-			if s.service == 0 {
-				s.service = float64(r.Took)
-			}
-			s.service += 0.1 * (float64(r.Took) - s.service)
+			learn(&s.home.usual[r.Class], r.Took)
 		}
 	case Failed:
 		s.breaker.failure(now, t.random)
+	case Gone:
+		s.breaker.gone(now, t.random)
 	case Late:
 		// One short deadline is no fault of the server, many in a row are.
 		s.breaker.fault(now, t.random)
@@ -313,12 +323,31 @@
 	return !s.breaker.trial && !t.leaving(s, now) && s.heard != 0 && now-s.heard < orDefault(t.FreshFor, 2000)
 }
 
-// Patience returns how long a repeatable request waits for the server's
-// answer before it is tried elsewhere, in milliseconds.
-func (t *Table) Patience(s *Server) int64 {
+// Usual returns the usual service time of a class in milliseconds, 0 when it
+// is not known.
+func (t *Table) Usual(name string, c Class) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stall(s)
+	if v := t.services[name]; v != nil {
+		return int64(v.usual[c])
+	}
+	return 0
+}
+
+// learn moves an average of times by a tenth of the difference.
+func learn(usual *float64, took int64) {
+	if *usual == 0 {
+		*usual = float64(max(took, 1))
+	}
+	*usual += 0.1 * (float64(took) - *usual)
+}
+
+// Patience returns how long a repeatable request of the class waits for the
+// server's answer before it is tried elsewhere too, in milliseconds.
+func (t *Table) Patience(s *Server, c Class) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stall(s, c)
 }
 
 func (t *Table) leaving(s *Server, now int64) bool {
@@ -326,34 +355,76 @@
 }
 
 func (t *Table) ready(s *Server, now int64) (ok, trial bool) {
-	if s.breaker.until == 0 && s.inflight > 0 && now-s.silent > t.stall(s) {
-		s.breaker.trip(now, t.random)
+	if s.breaker.until == 0 && s.inflight > 0 {
+		// A server full of long requests is silent for as long as they take.
+		var patience int64
+		for c, n := range s.flight {
+			if n > 0 {
+				patience = max(patience, t.stall(s, Class(c)))
+			}
+		}
+		if now-s.silent > patience {
+			s.breaker.trip(now, t.random)
+		}
 	}
 	return s.breaker.ready(now)
 }
 
-// stall grows with the usual service time, so that slow services are not
-// taken for stalled ones, up to 10 s.
-func (t *Table) stall(s *Server) int64 {
-	return min(max(orDefault(t.StallAfter, 500), int64(8*s.service)), max(10_000, t.StallAfter))
+// UnknownTime is taken for the usual service time while it is not known, in
+// milliseconds: an instance that has just started must not take long requests
+// for a fault or an overload.
+const UnknownTime = 10_000
+
+// stallMost bounds the time without a word after which a server is stalled,
+// milliseconds.
+const stallMost = 60_000
+
+// stall grows with the usual service time of the class, so that slow services
+// are not taken for stalled ones. The classes of a service often are different
+// kinds of requests, so each has its own.
+func (t *Table) stall(s *Server, c Class) int64 {
+	least := orDefault(t.StallAfter, 500)
+	usual := s.home.usual[c]
+	if usual == 0 {
+		return max(least, UnknownTime)
+	}
+	return max(least, min(int64(8*usual), stallMost))
 }
 
-// limit is how many requests this instance may have in flight on the server:
-// its share of the slots or, while a report is recent, all slots that others
-// do not use, and never more than its connections.
-func (t *Table) limit(s *Server, now int64) int {
-	n := max(1, s.slots/max(1, len(t.members)))
-	if s.reported != 0 && now-s.reported < orDefault(t.ReportAge, 1000) {
-		n = max(n, s.slots-max(0, s.busy-s.own))
+// limit is how many requests this instance may have in flight on the server
+// when it sends one of the class: its share of the slots or, while a report is
+// recent, all slots that others do not use, and never more than its
+// connections. An eighth of the slots is kept from normal requests and a
+// quarter from bulk ones, because a server full of long requests would make an
+// urgent one wait until the first of them ends.
+func (t *Table) limit(s *Server, now int64, c Class) int {
+	kept := 0
+	if c > Urgent && s.slots >= 4 {
+		kept = (s.slots + 7) / 8 * int(c)
+	}
+	n := max(1, s.slots/max(1, len(t.members))-kept)
+	if s.reported != 0 && now-s.reported < t.reportAge(s, c) {
+		n = max(n, s.slots-max(0, s.busy-s.own)-kept)
 	}
 	return min(n, s.share)
 }
 
+// reportAge returns how long a report counts: requests that take long make
+// the load of a server change as slowly. Bulk requests go by recent reports
+// only, because a wave of them through several instances would fill the slots
+// that are kept from them before the reports show it.
+func (t *Table) reportAge(s *Server, c Class) int64 {
+	if c == Bulk {
+		return orDefault(t.ReportAge, 1000)
+	}
+	return max(orDefault(t.ReportAge, 1000), int64(s.home.usual[c]))
+}
+
 // score is the expected load for each slot: own requests in flight and, less
 // with age, those of others.
-func (t *Table) score(s *Server, now int64) float64 {
+func (t *Table) score(s *Server, now int64, c Class) float64 {
 	load := float64(s.inflight)
-	if age, limit := now-s.reported, orDefault(t.ReportAge, 1000); s.reported != 0 && age < limit {
+	if age, limit := now-s.reported, t.reportAge(s, c); s.reported != 0 && age < limit {
 		load += float64(max(0, s.busy-s.own)) * float64(limit-age) / float64(limit)
 	}
 	return load / float64(s.slots)
@@ -391,7 +462,7 @@
 	var out []Status
 	for _, s := range v.servers {
 		out = append(out, Status{
-			Name: s.Name, Addr: s.Addr, Inflight: s.inflight, Busy: s.busy, Limit: t.limit(s, now),
+			Name: s.Name, Addr: s.Addr, Inflight: s.inflight, Busy: s.busy, Limit: t.limit(s, now, Urgent),
 			Share: s.share, Leaving: t.leaving(s, now), Open: s.breaker.until != 0,
 		})
 	}
--- a/trace/request.go
+++ b/trace/request.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,12 +12,17 @@
 	"jasminelane.example/lane/state"
 )
 
+// errBudget is a retry that the budget does not allow.
+var errBudget = errors.New("retry budget")
+
 // Delays and limits of the request path, as package caller has them, in
 // milliseconds.
 const (
 	hopDelay    = 1    // to a backend server, or back
 	pumpEvery   = 10   // waiting requests are looked at although no answer came
-	maxAttempts = 4    // sends or probes for one request
+	maxAttempts = 4    // sends of one request
+	maxTries    = 32   // sends and probes of one request
+	firstWait   = 500  // until a second attempt while the usual service time is not known
 	joinDelay   = 1000 // after its join before an instance uses its shares
 )
 
@@ -50,9 +56,12 @@
 	Request
 	wire     string // id; starts with its creation time
 	instance *instance
-	attempt  int
+	tries    int
+	sends    int // of the tries, those that sent the request
+	running  int
 	exclude  []string
-	maybe    bool // an attempt may have run
+	losers   []func() // give up the attempts that still run
+	maybe    bool     // an attempt may have run
 	claimed  bool
 	answered bool
 	runs     int
@@ -157,18 +166,18 @@
 func (v *service) acquire(c *call) {
 	in, now := c.instance, v.r.now()
 	q := in.queues[c.Service]
-	if q.Len() == 0 {
-		s, err := in.table.Pick(c.Service, now, c.exclude)
+	q.Usual[c.class()] = cmp.Or(in.table.Usual(c.Service, c.class()), route.UnknownTime)
+	if q.Ahead(c.class()) == 0 {
+		s, err := in.table.Pick(c.Service, now, c.exclude, c.class())
 		if err != nil && len(c.exclude) > 0 {
-			s, err = in.table.Pick(c.Service, now, nil)
+			s, err = in.table.Pick(c.Service, now, nil, c.class())
 		}
 		if err == nil {
 			v.send(c, s)
 			return
 		}
 	}
-	class, _ := route.ParseClass(c.Class)
-	if err := q.Push(now, &route.Item{Account: c.Account, Class: class, Deadline: epoch + c.due(), Value: c}); err != nil {
+	if err := q.Push(now, &route.Item{Account: c.Account, Class: c.class(), Deadline: epoch + c.due(), Value: c}); err != nil {
 		v.end(c, reason(err))
 		return
 	}
@@ -183,6 +192,11 @@
 	return "error"
 }
 
+func (c *call) class() route.Class {
+	class, _ := route.ParseClass(c.Class)
+	return class
+}
+
 // due returns the time of the call's deadline.
 func (c *call) due() int64 {
 	if c.Deadline == 0 {
@@ -215,16 +229,11 @@
 		q := in.queues[name]
 		v.expire(q.Expire(now))
 		for q.Len() > 0 {
-			s, err := in.table.Pick(name, now, nil)
+			s, err := in.table.Pick(name, now, nil, q.Next().Class)
 			if err != nil {
 				break
 			}
-			it, expired := q.Pop(now)
-			v.expire(expired)
-			if it == nil {
-				in.table.Done(s, now, route.Result{Verdict: route.Dropped})
-				break
-			}
+			it, _ := q.Pop(now)
 			v.send(it.Value.(*call), s)
 		}
 		waiting = waiting || q.Len() > 0
@@ -242,7 +251,13 @@
 func (v *service) send(c *call, s *route.Server) {
 	in, b := c.instance, v.servers[s.Addr]
 	c.sent = v.r.clock.now
-	patience := in.table.Patience(s)
+	c.tries++
+	c.running++
+	c.exclude = append(c.exclude, s.Addr)
+	patience := in.table.Patience(s, c.class())
+	if !c.Once {
+		v.hedge(c, patience)
+	}
 	if in.table.Fresh(s, v.r.now()) {
 		v.deliver(c, s, patience)
 		return
@@ -251,6 +266,10 @@
 		if in.gone {
 			return
 		}
+		if c.answered {
+			in.table.Done(s, v.r.now(), route.Result{Verdict: route.Dropped, Class: c.class()})
+			return
+		}
 		if b.down {
 			v.failed(c, s, route.ReasonConnect, true)
 			return
@@ -263,14 +282,28 @@
 func (v *service) deliver(c *call, s *route.Server, patience int64) {
 	in, b, began := c.instance, v.servers[s.Addr], v.r.clock.now
 	settled := false // the table has heard of this attempt
+	// When another server answers first, the attempt is given up.
+	c.losers = append(c.losers, func() {
+		if in.gone || settled {
+			return
+		}
+		settled = true
+		res := route.Result{Verdict: route.Dropped, Class: c.class()}
+		if v.r.clock.now-began >= patience {
+			res.Verdict = route.Failed
+		}
+		in.table.Done(s, v.r.now(), res)
+	})
 	v.r.clock.after(hopDelay, func() {
-		if in.gone {
+		if in.gone || settled {
 			return
 		}
 		if b.down {
+			settled = true
 			v.failed(c, s, route.ReasonConnect, true)
 			return
 		}
+		c.sends++
 		if b.full() {
 			settled = true
 			v.failed(c, s, route.ReasonBusy, true)
@@ -287,43 +320,64 @@
 				return
 			}
 			in.table.Done(s, v.r.now(), route.Result{
-				Verdict: route.Answered, Loaded: true, Busy: b.load(), Took: v.r.clock.now - began,
+				Verdict: route.Answered, Class: c.class(), Loaded: true, Busy: b.load(), Took: v.r.clock.now - began,
 			})
 			v.answer(c, record.FateDone, "")
 			v.pump(in)
 		})
 	})
-	if c.Once {
-		return // it cannot be sent elsewhere, so it waits as long as it may
+}
+
+// hedge sends a call that waits longer than usual to a second server too, if
+// one is free and the retry budget allows it.
+func (v *service) hedge(c *call, patience int64) {
+	in, try := c.instance, c.tries
+	if in.table.Usual(c.Service, c.class()) == 0 {
+		patience = min(patience, firstWait)
 	}
 	v.r.clock.after(patience, func() {
-		if in.gone || settled {
+		if in.gone || c.answered || c.tries != try || c.running == 0 || c.tries >= maxAttempts || v.r.clock.now >= c.due() {
 			return
 		}
-		settled = true
-		v.failed(c, s, route.ReasonTimeout, false)
+		s, err := in.table.Pick(c.Service, v.r.now(), c.exclude, c.class())
+		if err == nil && !in.budget.Retry(v.r.now()) {
+			in.table.Done(s, v.r.now(), route.Result{Verdict: route.Dropped, Class: c.class()})
+			err = errBudget
+		}
+		if err != nil {
+			v.hedge(c, patience)
+			return
+		}
+		v.send(c, s)
 	})
 }
 
 // failed ends an attempt and tries another server if that is allowed.
 func (v *service) failed(c *call, s *route.Server, why route.Reason, notRun bool) {
 	in := c.instance
-	res := route.Result{Verdict: route.Failed}
-	if why == route.ReasonBusy {
-		res = route.Result{Verdict: route.Refused, Loaded: true, Busy: v.servers[s.Addr].load()}
+	res := route.Result{Verdict: route.Failed, Class: c.class()}
+	switch why {
+	case route.ReasonConnect:
+		res.Verdict = route.Gone
+	case route.ReasonBusy:
+		res = route.Result{Verdict: route.Refused, Class: c.class(), Loaded: true, Busy: v.servers[s.Addr].load()}
 	}
 	in.table.Done(s, v.r.now(), res)
 	v.pump(in)
-	c.attempt++
+	c.running--
 	c.maybe = c.maybe || !notRun
 	switch {
-	case c.maybe && c.Once, c.attempt >= maxAttempts, v.r.clock.now >= c.due():
+	case c.running > 0: // another attempt may still answer
+	case c.maybe && c.Once, c.sends >= maxAttempts, c.tries >= maxTries, v.r.clock.now >= c.due():
 		v.end(c, string(why))
-	case !in.budget.Retry(v.r.now()):
+	case why != route.ReasonConnect && !in.budget.Retry(v.r.now()):
 		v.end(c, string(route.ReasonBudget))
 	default:
-		c.exclude = append(c.exclude, s.Addr)
-		v.r.clock.after(route.Jitter(c.attempt, 10, 200, v.rand.Float64), func() {
+		delay := route.Jitter(c.tries, 10, 200, v.rand.Float64)
+		if why == route.ReasonConnect {
+			delay = 0
+		}
+		v.r.clock.after(delay, func() {
 			if !in.gone {
 				v.acquire(c)
 			}
@@ -346,6 +400,9 @@
 		return
 	}
 	c.answered, c.ended = true, v.r.clock.now
+	for _, lose := range c.losers {
+		lose()
+	}
 	v.r.open--
 	v.r.side.answered(c.Request, string(fate), v.r.clock.now)
 	if fate != record.FateDone {
@@ -399,7 +456,7 @@
 		case c.claimed:
 			v.answer(c, record.FateUnknown, "restart")
 		case !slices.Contains(v.outside, c):
-			c.instance, c.attempt, c.exclude, c.maybe = nil, 0, nil, false
+			c.instance, c.tries, c.sends, c.running, c.exclude, c.losers, c.maybe = nil, 0, 0, 0, nil, nil, false
 			v.outside = append(v.outside, c)
 		}
 	}
