Renew unchanged leases with a short sync

Cause: lane measure showed 2,430 bytes for each sync of a worker with 16 tasks; one of 96 instances would spend 125 KB/s at the target size, of which 121 KB/s are syncs that change nothing.

Ruled out: a binary codec for the full form (at best a third of the bytes, and the field names would go); leaving the keeping of leases to the log (1,200 records a second).

Change: a sync whose grants the worker has carries their digest only, and an answer whose phases the sender knows carries none; a worker with another digest answers 412 and gets the full form. A sync that was due for a running task still asks for its progress. The setting times.sync, which nothing used, is gone. The test harness of e2e guards the addresses of an instance that joins again.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -60,14 +60,21 @@
 
 // process is one entry instance as a process of its own.
 type process struct {
-	name      string
-	cmd       *exec.Cmd
-	peers     string
-	callers   string
-	operators string
-	done      chan struct{} // closed when the process has ended
-	mu        sync.Mutex
-	lines     []string // of its log
+	name  string
+	cmd   *exec.Cmd
+	done  chan struct{} // closed when the process has ended
+	mu    sync.Mutex
+	lines []string // of its log
+	addrs addrs
+}
+
+// addrs are the addresses of a process; a new incarnation has new ones.
+type addrs struct{ peers, callers, operators string }
+
+func (p *process) listens() addrs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addrs
 }
 
 const token = "e2e-token-of-"
@@ -106,7 +113,6 @@
 snapshot = 60
 [times]
 lease = 3s
-sync = 500ms
 balancer = 300ms
 drain = 10s
 [account.asha]
@@ -154,15 +160,16 @@
 func (p *process) read(lines *bufio.Scanner, up chan struct{}) {
 	defer close(p.done)
 	for lines.Scan() {
+		m := listening.FindStringSubmatch(lines.Text())
 		p.mu.Lock()
 		p.lines = append(p.lines, lines.Text())
+		first := m != nil && p.addrs.peers == ""
+		if m != nil {
+			p.addrs = addrs{m[1], m[2], m[3]}
+		}
 		p.mu.Unlock()
-		if m := listening.FindStringSubmatch(lines.Text()); m != nil {
-			first := p.peers == ""
-			p.peers, p.callers, p.operators = m[1], m[2], m[3]
-			if first {
-				close(up)
-			}
+		if first {
+			close(up)
 		}
 	}
 	_ = p.cmd.Wait()
@@ -213,7 +220,7 @@
 func (c *cluster) list() {
 	var list []platform.Instance
 	for _, p := range c.live() {
-		list = append(list, platform.Instance{Name: p.name, Addr: p.peers})
+		list = append(list, platform.Instance{Name: p.name, Addr: p.listens().peers})
 	}
 	c.directory.Set(list)
 }
@@ -227,15 +234,15 @@
 var httpClient = &http.Client{Timeout: 20 * time.Second}
 
 func (p *process) operator() *client.Client {
-	return &client.Client{Base: "http://" + p.operators, Token: token + "desk", HTTP: httpClient}
+	return &client.Client{Base: "http://" + p.listens().operators, Token: token + "desk", HTTP: httpClient}
 }
 
 func (p *process) caller(account string) *client.Client {
-	return &client.Client{Base: "http://" + p.callers, Token: token + account, HTTP: httpClient}
+	return &client.Client{Base: "http://" + p.listens().callers, Token: token + account, HTTP: httpClient}
 }
 
 func (p *process) ready() bool {
-	resp, err := httpClient.Get("http://" + p.operators + "/readyz")
+	resp, err := httpClient.Get("http://" + p.listens().operators + "/readyz")
 	if err != nil {
 		return false
 	}
--- a/measure/sample.go
+++ b/measure/sample.go
@@ -184,7 +184,11 @@
 	if err != nil {
 		return nil, err
 	}
-	sync, err := unitSync(ctx, f.state)
+	full, err := unitSync(ctx, f.state, "full sync", true)
+	if err != nil {
+		return nil, err
+	}
+	short, err := unitSync(ctx, f.state, "short sync", false)
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []Unit{sync, poll, ping}, nil
+	return []Unit{full, short, poll, ping}, nil
 }
 
 // unit runs the exchange n times after a first one that opens the connection.
@@ -214,14 +218,18 @@
 	return Unit{name, float64(c.bytes.Load()-bytes) / n, float64((cpu() - begin).Microseconds()) / n}, nil
 }
 
-func unitSync(ctx context.Context, s *state.State) (Unit, error) {
+// unitSync measures syncs whose grants change each time, or never.
+func unitSync(ctx context.Context, s *state.State, name string, change bool) (Unit, error) {
 	server := httptest.NewServer(&standin.Workers{})
 	defer server.Close()
 	c := &counter{}
 	client := &worker.Client{HTTP: c.client()}
 	addr := strings.TrimPrefix(server.URL, "http://")
 	q := worker.Request(s, s.Workers[0], 15_000, "")
-	return unit("sync", c, func() error {
+	return unit(name, c, func() error {
+		if change {
+			q.Grants[0].Expect++
+		}
 		_, err := client.Sync(ctx, addr, q)
 		return err
 	})
--- a/measure/target.go
+++ b/measure/target.go
@@ -110,9 +110,13 @@
 	poll := r.unit("poll")
 	polls := appends + 1
 	lines = append(lines, Line{"log: polls", polls, polls * poll.Bytes, polls * poll.Micros})
-	sync := r.unit("sync")
+	short, full := r.unit("short sync"), r.unit("full sync")
 	syncs := float64(Target.Workers) / float64(n) * 2 * 3 / d.Lease
-	lines = append(lines, Line{"syncs of workers", syncs, syncs * sync.Bytes, syncs * sync.Micros})
+	lines = append(lines, Line{"short syncs", syncs, syncs * short.Bytes, syncs * short.Micros})
+	// A full sync of each of the three keepers for each change of a worker's
+	// grants: hold, start, run and end of a job.
+	fulls := 4 * 3 * d.Jobs * d.Workers / daySeconds / float64(n)
+	lines = append(lines, Line{"full syncs", fulls, fulls * full.Bytes, fulls * full.Micros})
 	ping := r.unit("ping")
 	const pings = 10 // an instance watches five others and is watched by five, each once a second
 	lines = append(lines, Line{"pings", pings, pings * ping.Bytes, pings * ping.Micros})
@@ -154,16 +158,21 @@
 	for _, u := range r.Units {
 		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t\n", u.Name, u.Bytes, u.Micros)
 	}
-	for _, n := range []int{32, 96, 192, 384} {
-		r.writeInstance(t, n)
+	for _, v := range []struct {
+		instances int
+		lease     float64
+	}{{96, 15}, {96, 60}, {192, 60}} {
+		d := Day
+		d.Lease = v.lease
+		r.writeInstance(t, v.instances, d)
 	}
 	return t.Flush()
 }
 
-func (r *Report) writeInstance(w io.Writer, n int) {
-	fmt.Fprintf(w, "\none of %d instances\trate/s\tB/s\tus/s\t\n", n)
+func (r *Report) writeInstance(w io.Writer, n int, d Load) {
+	fmt.Fprintf(w, "\none of %d instances, lease %.0f s\trate/s\tB/s\tus/s\t\n", n, d.Lease)
 	var bytes, micros float64
-	for _, l := range r.Instance(n, Day) {
+	for _, l := range r.Instance(n, d) {
 		fmt.Fprintf(w, "%s\t%.3f\t%.0f\t%.0f\t\n", l.Name, l.Rate, l.Bytes, l.Micros)
 		bytes += l.Bytes
 		micros += l.Micros
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -163,9 +163,6 @@
 }
 
 func (p *parser) cross(s *Settings) {
-	if s.Times.Sync*2 > s.Times.Lease {
-		p.fail("times", "sync", s.Times.Sync.String(), "at most half of lease, "+s.Times.Lease.String())
-	}
 	if s.Policy.Completion+s.Policy.Fragmentation == 0 {
 		p.fail("policy", "completion", "0", "not both weights 0")
 	}
@@ -199,7 +196,6 @@
 		period("times", "read", &s.Times.Read, 100*time.Millisecond, time.Minute),
 		period("times", "idle", &s.Times.Idle, time.Second, time.Hour),
 		period("times", "lease", &s.Times.Lease, time.Second, 10*time.Minute),
-		period("times", "sync", &s.Times.Sync, 100*time.Millisecond, 5*time.Minute),
 		period("times", "round", &s.Times.Round, 10*time.Millisecond, time.Minute),
 		period("times", "balancer", &s.Times.Balancer, 0, time.Minute),
 		period("times", "drain", &s.Times.Drain, time.Second, time.Hour),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,8 +45,7 @@
 type Times struct {
 	Read      time.Duration // to read one request
 	Idle      time.Duration // of an unused connection
-	Lease     time.Duration // of a worker's tasks
-	Sync      time.Duration // between renewals of a worker's lease
+	Lease     time.Duration // of a worker's tasks; renewed three times in each
 	Round     time.Duration // between scheduling rounds without a change
 	Balancer  time.Duration // for the balancer to see that the instance leaves
 	Drain     time.Duration // for work in flight to end
@@ -70,7 +69,7 @@
 	return Settings{
 		Limits: Limits{Header: 16 << 10, Body: 1 << 20, Connections: 1000, Requests: 200, Snapshot: 20_000},
 		Times: Times{
-			Read: 10 * time.Second, Idle: time.Minute, Lease: 15 * time.Second, Sync: 5 * time.Second,
+			Read: 10 * time.Second, Idle: time.Minute, Lease: 15 * time.Second,
 			Round: time.Second, Balancer: 3 * time.Second, Drain: 30 * time.Second, Retention: 6 * time.Hour,
 		},
 		Policy: Policy{Completion: 1, Fragmentation: 1},
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/worker"
 )
@@ -71,6 +73,8 @@
 	lease  time.Time
 	newest [shape.MaxGPUs]uint64 // token of each accelerator
 	tasks  map[taskKey]*unitTask
+	sum    uint64 // of the grants
+	grants []worker.Grant
 	fault  WorkerFault
 	thaw   chan struct{} // closed when a freeze ends
 	frozen time.Time
@@ -113,6 +117,7 @@
 func (w *Workers) reset(u *unit) {
 	w.boots = max(w.boots+1, uint64(w.now().UnixMicro()))
 	u.boot, u.offset, u.lease = w.boots, 0, time.Time{}
+	u.sum, u.grants = 0, nil
 	u.newest = [shape.MaxGPUs]uint64{}
 	u.tasks = map[taskKey]*unitTask{}
 }
@@ -127,11 +132,13 @@
 			return
 		}
 		a, err := w.Sync(r.Context(), "", q)
-		switch err.(type) {
+		switch err := err.(type) {
 		case nil:
 			writeJSON(rw, http.StatusOK, a)
 		case *worker.StaleError:
 			writeJSON(rw, http.StatusConflict, a)
+		case *worker.AnswerError:
+			rw.WriteHeader(err.Status)
 		default:
 			panic(http.ErrAbortHandler) // closes the connection without an answer
 		}
@@ -279,6 +286,13 @@
 	if q.Offset < u.offset {
 		return worker.SyncAnswer{Offset: u.offset, Boot: u.boot}, &worker.StaleError{Worker: u.name, Offset: u.offset}
 	}
+	if q.Same && (q.Sum == 0 || q.Sum != u.sum) {
+		return worker.SyncAnswer{}, &worker.AnswerError{Status: http.StatusPreconditionFailed}
+	}
+	if q.Same {
+		q.Grants = u.grants
+	}
+	u.sum, u.grants = q.Sum, q.Grants
 	w.advance(u, now)
 	u.offset = q.Offset
 	u.lease = now.Add(time.Duration(q.Lease) * time.Millisecond)
@@ -303,9 +317,22 @@
 	for key, t := range u.tasks {
 		a.Tasks = append(a.Tasks, w.status(key, t, now))
 	}
+	a.Sum = phases(a)
+	if q.Known == a.Sum {
+		a.Tasks, a.Same = nil, true
+	}
 	return a, nil
 }
 
+// phases returns the digest of the tasks' phases, in any order.
+func phases(a worker.SyncAnswer) uint64 {
+	sum := a.Boot
+	for _, t := range a.Tasks {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s %d %s", t.Job, t.Token, t.Phase))
+	}
+	return sum
+}
+
 // grant applies one grant and returns why there is no task for it, or "".
 func (w *Workers) grant(u *unit, g worker.Grant, now time.Time) string {
 	key := taskKey{g.Job, g.Token}
--- a/worker/keeper.go
+++ b/worker/keeper.go
@@ -63,6 +63,7 @@
 	edition   uint64    // of the worker's grants in the last sync
 	changed   time.Time // when a newer edition was first seen; zero when none
 	next      time.Time // next sync
+	due       time.Time // when something is expected to have changed on the worker; zero when nothing is
 	reached   time.Time // last answer, or when the worker was first kept
 	busy      bool      // a sync is in flight
 	proposing bool      // a proposal is in flight
@@ -218,6 +219,7 @@
 		return // all are in use; the next scan tries again
 	}
 	q := Request(s, w, k.Lease.Milliseconds(), "")
+	q.Full = !e.due.IsZero() && !now.Before(e.due)
 	if e.answer != nil {
 		q.Acks = Acks(s, w, *e.answer)
 	}
@@ -249,8 +251,15 @@
 	switch {
 	case err == nil:
 		e.answer, e.request, e.answered, e.reached, e.wait = &a, q, now, now, k.Lease
-		if soon := k.soon(q, a); soon > 0 && now.Add(soon).Before(e.next) {
-			e.next = now.Add(soon)
+		if !a.Same {
+			// An answer that repeats an earlier one has its old progress.
+			e.due = time.Time{}
+			if soon := k.soon(q, a); soon > 0 {
+				e.due = now.Add(soon)
+			}
+		}
+		if due := e.due; !due.IsZero() && due.Before(e.next) {
+			e.next = latest(due, now.Add(k.Lease/60))
 		}
 	case errors.As(err, &stale):
 		e.reached = now // it is alive; another instance's view is newer
@@ -263,6 +272,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // soon returns after which time something is expected to have changed on the
 // worker, so that the end of a short task is not found one period late; 0
 // means that nothing is expected.
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -45,13 +45,20 @@
 	Members    int        `json:"members"`            // workers of the whole gang
 }
 
-// SyncRequest states all tasks of a worker as of a log offset.
+// SyncRequest states all tasks of a worker as of a log offset. In its short
+// form, with Same set, it has no grants and stands for those of the last
+// accepted request with the same Sum; a worker that has another sum answers
+// 412 (Precondition Failed), and the request is sent again in full.
 type SyncRequest struct {
 	Worker string  `json:"worker"`
 	Offset uint64  `json:"offset"`
 	Lease  int64   `json:"lease"` // milliseconds from acceptance
-	Grants []Grant `json:"grants"`
-	Acks   []Ack   `json:"acks,omitempty"` // results that the log has settled
+	Grants []Grant `json:"grants,omitempty"`
+	Acks   []Ack   `json:"acks,omitempty"`  // results that the log has settled
+	Sum    uint64  `json:"sum,omitempty"`   // digest of the grants, opaque to the worker
+	Known  uint64  `json:"known,omitempty"` // Sum of the answer that the sender has
+	Same   bool    `json:"same,omitempty"`
+	Full   bool    `json:"-"` // asks for the tasks even if their phases are known
 }
 
 // Ack tells a worker that a result is settled and need not be kept.
@@ -60,11 +67,16 @@
 	Token uint64 `json:"token"`
 }
 
-// SyncAnswer is what a worker runs and the results it keeps.
+// SyncAnswer is what a worker runs and the results it keeps. With Same set it
+// has no tasks on the wire and stands for those of the answer whose Sum the
+// request names in Known; their progress may have grown.
 type SyncAnswer struct {
 	Offset uint64   `json:"offset"` // highest offset seen
 	Boot   uint64   `json:"boot"`   // changes with each start of the worker, never 0
-	Tasks  []Status `json:"tasks"`
+	Tasks  []Status `json:"tasks,omitempty"`
+	Sum    uint64   `json:"sum,omitempty"` // digest of the tasks' phases, opaque to the sender
+	Same   bool     `json:"same,omitempty"`
+	Full   bool     `json:"-"` // asks for the tasks even if their phases are known
 }
 
 // Status is what a worker knows of one grant.
