--- a/snapshot/assemble.go
+++ b/snapshot/assemble.go
@@ -151,17 +151,3 @@
 	}
 	delete(a.parts, oldest)
 }
-
-// Decode reads a compressed snapshot; it fails with the error of the
-// decompression, the codec or *state.ImageError.
-func Decode(data []byte) (*state.State, error) {
-	raw, err := decoder.DecodeAll(data, nil)
-	if err != nil {
-		return nil, err
-	}
-	var im state.Image
-	if err := record.Unmarshal(raw, &im); err != nil {
-		return nil, err
-	}
-	return state.Load(&im)
-}
--- a/snapshot/split.go
+++ b/snapshot/split.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/klauspost/compress/zstd"
 
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
@@ -18,26 +17,12 @@
 const (
 	MaxChunkBytes = 128 << 10
 	MaxChunks     = 512
-	maxImageBytes = 512 << 20 // decompressed
 )
 
-var (
-	// One goroutine each: an instance may use only a small share of a core.
-	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest)))
-	decoder = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxImageBytes)))
-)
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 // Image is an encoded state that no longer shares memory with the state.
 type Image struct {
 	Offset uint64 // state.Offset
-	Data   []byte // deterministic CBOR
+	Data   []byte // compressed
 }
 
 // SizeError reports a state whose snapshot would exceed MaxChunks.
@@ -62,30 +47,29 @@
 func (e *EncodeError) Unwrap() error { return e.Err }
 
 // Encode copies the state into an image. It reads the state, so it needs the
-// caller's lock, while Image.Split does not.
+// caller's lock, while Image.Split does not. It fails with *EncodeError.
 func Encode(s *state.State) (*Image, error) {
-	data, err := record.Marshal(s.Image())
+	data, err := encode(s.Image())
 	if err != nil {
 		return nil, &EncodeError{err}
 	}
 	return &Image{s.Offset, data}, nil
 }
 
-// Split compresses the image and cuts it into chunks under the snapshot id,
-// which is unique to this writing of it; it fails with *SizeError.
+// Split cuts the image into chunks under the snapshot id, which is unique to
+// this writing of it; it fails with *SizeError.
 func (im *Image) Split(id string) ([]record.Chunk, error) {
-	data := encoder.EncodeAll(im.Data, nil)
-	count := (len(data) + MaxChunkBytes - 1) / MaxChunkBytes
+	count := (len(im.Data) + MaxChunkBytes - 1) / MaxChunkBytes
 	if count > MaxChunks {
-		return nil, &SizeError{len(data)}
+		return nil, &SizeError{len(im.Data)}
 	}
-	sum := xxhash.Sum64(data)
+	sum := xxhash.Sum64(im.Data)
 	chunks := make([]record.Chunk, count)
 	for i := range chunks {
-		end := min((i+1)*MaxChunkBytes, len(data))
+		end := min((i+1)*MaxChunkBytes, len(im.Data))
 		chunks[i] = record.Chunk{
 			Snapshot: id, Offset: im.Offset, Index: i, Count: count,
-			Format: Format, Sum: sum, Data: data[i*MaxChunkBytes : end],
+			Format: Format, Sum: sum, Data: im.Data[i*MaxChunkBytes : end],
 		}
 	}
 	return chunks, nil
