Measure a placement that visits every rack in vain

Cause: the benchmarks measured placements that end at the first fitting racks; a job that cannot be evicted has to look at each rack with lent space. Ruled out: a table per account, which costs memory for each account. Change: a benchmark only.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -159,3 +159,28 @@
 func BenchmarkReclaim(b *testing.B) {
 	benchPlace(b, "asha", map[int]string{8: "8x1@rack", 512: "512x1@domain"}, true)
 }
+
+// BenchmarkPlaceOnce looks in vain for room for a job that cannot be evicted
+// when only lent blocks are free, which visits every rack.
+func BenchmarkPlaceOnce(b *testing.B) {
+	for _, z := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", z.workers), func(b *testing.B) {
+			c := fullCluster(b, z)
+			x := NewIndex(c.state)
+			var open []shape.Slot
+			for _, w := range c.state.Workers {
+				open = append(open, shape.Slot{Worker: w.Index, Mask: w.Free() &^ w.Reserved()})
+			}
+			x.Hold(open)
+			if err := c.account("none"); err != nil {
+				b.Fatal(err)
+			}
+			j := c.submit("probe", "none", "2x1@rack", func(s *record.Submit) { s.Once = true })
+			for b.Loop() {
+				if _, err := x.Place(j, Policy{}); err == nil {
+					b.Fatal("it fits")
+				}
+			}
+		})
+	}
+}
