Quarantine by the failures that the fold keeps

Cause: the fold now keeps each worker's failures, strikes and the cause of its condition, and the keeper of a worker proposes quarantine from them. The scheduler derived the same from all known jobs and named another cause, so a worker that it set aside looked to the keeper as if an operator had done so. Ruled out: removing the scheduler's part, because the trace replay has no keeper that proposes quarantine; calling worker.Quarantine, because the pure package would depend on the protocol. Change: the same rules, defaults and cause as worker.Quarantine; nothing is remembered in the scheduler. Whichever proposal comes second is refused as stale. The rule still stands in two places; it belongs in one.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -42,8 +42,6 @@
 	moved    int64          // time of the last search for moves
 	repaired int64          // time of the last repair
 	resting  map[need]bool  // failed in rounds that ran out of tries
-	searched int64          // time of the last search for faulty workers
-	suspects map[uint32]*suspect
 	idle     idle
 }
 
