--- a/trace/generate.go
+++ b/trace/generate.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+
+	"jasminelane.example/lane/shape"
 )
 
 // Times in milliseconds. Jobs run for tens of minutes to hours, as they do
@@ -72,7 +74,26 @@
 	return nil, &NameError{name}
 }
 
-func (s *scenario) generate() *Trace {
+// Variants returns n traces of the named scenario with other seeds, which show
+// whether a difference is more than chance; it fails with *NameError.
+func Variants(name string, n int) ([]*Trace, error) {
+	for _, s := range scenarios {
+		if s.name != name {
+			continue
+		}
+		var out []*Trace
+		for i := range n {
+			s.seed += 1000
+			t := s.generate()
+			t.Head.Name = fmt.Sprintf("%s-%d", name, i+1)
+			out = append(out, t)
+		}
+		return out, nil
+	}
+	return nil, &NameError{name}
+}
+
+func (s scenario) generate() *Trace {
 	b := &builder{rand: rand.New(rand.NewPCG(s.seed, 0)), user: s.user, length: s.length, count: map[string]int{}}
 	b.trace = &Trace{
 		Head: Head{
@@ -193,6 +214,7 @@
 	if j.Outcome == "" {
 		j.Outcome = "done"
 	}
+	j.parsed, _ = shape.Parse(j.Shape) // shapes are those of the users and scenarios
 	b.trace.Jobs = append(b.trace.Jobs, j)
 	return j.ID
 }
--- a/trace/wait.go
+++ b/trace/wait.go
@@ -9,8 +9,9 @@
 )
 
 // waits measures how long jobs wait that their account's guarantee entitles to
-// start: whose shape fits into the account's whole blocks on workers that are
-// alive, beside the account's guaranteed work and the entitled jobs before it.
+// start: that are no larger than the account's largest promised shape, and fit
+// into its whole blocks on workers that are alive, beside its guaranteed work
+// and the entitled jobs before them.
 // Time during which the log is down or every instance is restarting does not
 // count, because no decision can be made then (section 2.5 of the design page).
 type waits struct {
@@ -58,7 +59,7 @@
 		quota := a.Quota - a.Used
 		for _, j := range jobs {
 			given := w.fit(free, j)
-			if given == nil || a.Quota > 0 && quota < j.Spec.Shape.Total() {
+			if given == nil || j.Spec.Shape.Total() > promised(a) || a.Quota > 0 && quota < j.Spec.Shape.Total() {
 				delete(w.since, j.ID)
 				continue
 			}
@@ -73,6 +74,15 @@
 	}
 }
 
+// promised returns the size of the account's largest promised shape.
+func promised(a *state.Account) int {
+	n := 0
+	for _, p := range a.Guarantees {
+		n = max(n, p.Shape.Total())
+	}
+	return n
+}
+
 // free returns the accelerators of the account's whole blocks, by worker, that
 // its own guaranteed work does not hold.
 func (w *waits) free(a *state.Account) []int {
