Let urgent requests pass an instance's own long requests

Cause: an urgent request counted against the share of the slots together with the instance's own bulk requests. Change: for urgent requests a report counts as long as the longest class usually takes; without one, an urgent request may be in flight beside those of other classes. The same age applies to the score.

--- a/route/table.go
+++ b/route/table.go
@@ -244,7 +244,7 @@
 	s := open[t.intn(len(open))]
 	if len(open) > 1 {
 		o := open[t.intn(len(open))]
-		if t.score(o, now, c) < t.score(s, now, c) {
+		if t.score(o, now) < t.score(s, now) {
 			s = o
 		}
 	}
@@ -405,26 +405,40 @@
 	n := max(1, s.slots/max(1, len(t.members))-kept)
 	if s.reported != 0 && now-s.reported < t.reportAge(s, c) {
 		n = max(n, s.slots-max(0, s.busy-s.own)-kept)
+	} else if c == Urgent {
+		// The own share may be full of long requests of other classes, which
+		// leave some slots to urgent ones.
+		n = max(n, s.inflight-s.flight[Urgent]+1)
 	}
 	return min(n, s.share)
 }
 
-// reportAge returns how long a report counts: requests that take long make
-// the load of a server change as slowly. Bulk requests go by recent reports
-// only, because a wave of them through several instances would fill the slots
-// that are kept from them before the reports show it.
+// reportAge returns how long a report counts. Requests that take long make the
+// load of a server change as slowly, so for an urgent request a report on them
+// is better than none. Bulk requests go by recent reports only, because a wave
+// of them through several instances would fill the slots that are kept from
+// them before the reports show it.
 func (t *Table) reportAge(s *Server, c Class) int64 {
 	if c == Bulk {
 		return orDefault(t.ReportAge, 1000)
 	}
+	if c == Urgent {
+		return t.scoreAge(s)
+	}
 	return max(orDefault(t.ReportAge, 1000), int64(s.home.usual[c]))
 }
 
+// scoreAge is the age up to which a report says something about the load: the
+// usual time of the longest requests.
+func (t *Table) scoreAge(s *Server) int64 {
+	return max(orDefault(t.ReportAge, 1000), int64(slices.Max(s.home.usual[:])))
+}
+
 // score is the expected load for each slot: own requests in flight and, less
 // with age, those of others.
-func (t *Table) score(s *Server, now int64, c Class) float64 {
+func (t *Table) score(s *Server, now int64) float64 {
 	load := float64(s.inflight)
-	if age, limit := now-s.reported, t.reportAge(s, c); s.reported != 0 && age < limit {
+	if age, limit := now-s.reported, t.scoreAge(s); s.reported != 0 && age < limit {
 		load += float64(max(0, s.busy-s.own)) * float64(limit-age) / float64(limit)
 	}
 	return load / float64(s.slots)
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -285,3 +285,22 @@
 	_, err = table.Pick("badges", 70_000, nil, Urgent)
 	is.NoErr(err)
 }
+
+// Own long requests that fill the share of the slots must not block an urgent
+// one when nothing recent is known of the server; a report that it is full must.
+func TestUrgentBesideFullShare(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1)
+	table.SetMembers("i0", []string{"i0", "i1", "i2", "i3", "i4", "i5"})
+	s, err := table.Pick("badges", 1, nil, Bulk)
+	is.NoErr(err)
+	_, err = table.Pick("badges", 2, nil, Bulk)
+	is.Equal(reason(err), ReasonBusy)
+	_, err = table.Pick("badges", 3, nil, Urgent)
+	is.NoErr(err)
+	_, err = table.Pick("badges", 4, nil, Urgent)
+	is.Equal(reason(err), ReasonBusy)
+	table.Done(s, 5, Result{Verdict: Answered, Class: Urgent, Took: 2, Loaded: true, Busy: 10})
+	_, err = table.Pick("badges", 6, nil, Urgent)
+	is.Equal(reason(err), ReasonBusy)
+}
