--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -22,10 +22,10 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	return &platform.Log{URL: srv.URL}, func(fault string) int { return post(t, srv.URL+"/fault", fault) }
+	return &platform.Log{URL: srv.URL}, func(fault string) int { return postText(t, srv.URL+"/fault", fault) }
 }
 
-func post(t *testing.T, url, body string) int {
+func postText(t *testing.T, url, body string) int {
 	t.Helper()
 	resp, err := http.Post(url, "application/json", strings.NewReader(body))
 	if err != nil {
@@ -215,14 +215,14 @@
 	is.Equal(names(), "")
 	store.Set([]platform.Instance{{Name: "a"}})
 	is.Equal(names(), "a")
-	is.Equal(post(t, srv.URL+"/fault", `{"freeze":true}`), http.StatusNoContent)
+	is.Equal(postText(t, srv.URL+"/fault", `{"freeze":true}`), http.StatusNoContent)
 	store.Set([]platform.Instance{{Name: "b"}})
 	is.Equal(names(), "a")
-	is.Equal(post(t, srv.URL+"/fault", `{"freeze":false}`), http.StatusNoContent)
+	is.Equal(postText(t, srv.URL+"/fault", `{"freeze":false}`), http.StatusNoContent)
 	is.Equal(names(), "b")
-	is.Equal(post(t, srv.URL+"/fault", `{"lag":60000}`), http.StatusNoContent)
+	is.Equal(postText(t, srv.URL+"/fault", `{"lag":60000}`), http.StatusNoContent)
 	is.Equal(names(), "")
-	is.Equal(post(t, srv.URL+"/fault", `{"lag":0,"down":true}`), http.StatusNoContent)
+	is.Equal(postText(t, srv.URL+"/fault", `{"lag":0,"down":true}`), http.StatusNoContent)
 	_, err := d.List(ctx)
 	var down *platform.DownError
 	is.True(errors.As(err, &down))
