Spare the last unit that fits the largest guaranteed shape

Cause: above nine tenths of use, small borrowed jobs take the last free rack that fits the largest guaranteed shape, and then all free accelerators count as fragmented (0.9 to 1.0 of the time at that load).

Change: a job below half of that shape that is not urgent waits up to 30 min, times the weight of fragmentation over that of completion, rather than break up the last such unit outside its own blocks; the refusal says so. The fair share test counts after that patience, with the same bound.

--- a/placement/goal.go
+++ b/placement/goal.go
@@ -18,6 +18,7 @@
 	units  []usage
 	inside int // usable accelerators in all units that fit the shape
 	free   int
+	fits   int     // units that fit the shape
 	deltas []usage // scratch of damage
 	marked []int
 }
@@ -37,6 +38,14 @@
 	return u.usable
 }
 
+// fits returns 1 if the unit fits the shape, otherwise 0.
+func (u usage) fits(sh shape.Shape) int {
+	if u.members < sh.Members {
+		return 0
+	}
+	return 1
+}
+
 func (u usage) plus(v usage) usage {
 	return usage{u.members + v.members, u.usable + v.usable, u.free + v.free}
 }
@@ -63,9 +72,10 @@
 		g.units = append(g.units, usage{})
 	}
 	u := &g.units[i]
-	g.inside -= u.inside(g.shape)
+	before := *u
 	*u = u.plus(change(g.shape, from, to))
-	g.inside += u.inside(g.shape)
+	g.inside += u.inside(g.shape) - before.inside(g.shape)
+	g.fits += u.fits(g.shape) - before.fits(g.shape)
 	g.free += to - from
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -29,6 +29,9 @@
 		return out, &NoFitError{j.ID, sh, "quota of the account is in use"}
 	}
 	c := x.choose(j, a, p)
+	if c.slots == nil && x.scratch.kept {
+		return out, &NoFitError{j.ID, sh, "the last free " + x.goals[0].shape.Level.String() + " that fits the largest guaranteed shape is spared for a time"}
+	}
 	if c.slots == nil {
 		return out, &NoFitError{j.ID, sh, "no " + sh.Level.String() + " has enough adjacent free accelerators"}
 	}
@@ -42,11 +45,15 @@
 
 // choose returns the placement of the job, with nil slots if there is none.
 func (x *Index) choose(j *state.Job, a *state.Account, p Policy) choice {
+	x.scratch.kept = false
 	own := x.searchOwn(j, a, p)
 	if own.slots != nil && len(own.victims) == 0 && (own.whole || own.shared) {
 		return own
 	}
 	open := x.search(j, tierOpen, spaceAll)
+	if !x.spared(j, open, p) {
+		open = choice{}
+	}
 	switch {
 	case own.slots != nil && own.whole:
 		_, weight := p.weights()
@@ -58,7 +65,7 @@
 		return open
 	}
 	if !j.Spec.Once {
-		if lent := x.search(j, tierFree, spaceLent); lent.slots != nil {
+		if lent := x.search(j, tierFree, spaceLent); lent.slots != nil && x.spared(j, lent, p) {
 			return lent
 		}
 	}
@@ -66,8 +73,13 @@
 		return own
 	}
 	// What remains is space partly in own blocks and partly outside them.
+	rest := spaceAll
 	if j.Spec.Once {
-		return x.search(j, tierFree, spaceOwn)
+		rest = spaceOwn
+	}
+	c := x.search(j, tierFree, rest)
+	if !x.spared(j, c, p) {
+		return choice{}
 	}
-	return x.search(j, tierFree, spaceAll)
+	return c
 }
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -43,3 +43,40 @@
 	var no *NoFitError
 	is.True(errors.As(err, &no))
 }
+
+// Guards against a small job that breaks up the last free rack that fits the
+// largest guaranteed shape, and against one that starves for it.
+func TestPlaceSparesLastUnit(t *testing.T) {
+	tests := []struct {
+		name   string
+		shape  string
+		urgent bool
+		policy Policy
+		waited int64 // milliseconds
+		fits   bool
+	}{
+		{"small", "1x1@worker", false, Policy{}, 0, false},
+		{"small and urgent", "1x1@worker", true, Policy{}, 0, true},
+		{"half of the guaranteed shape", "2x2@rack", false, Policy{}, 0, true},
+		{"small, waited for its patience", "1x1@worker", false, Policy{Completion: 1e6}, 5_000, true},
+		{"small, fragmentation weighs more", "1x1@worker", false, Policy{Fragmentation: 1e6}, 5_000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 2, 2, 4)
+			is.NoErr(c.account("asha", state.GuaranteeBody{Shape: "2x4@rack", Count: 1}))
+			is.NoErr(c.account("ben"))
+			x := NewIndex(c.state)
+			for _, id := range []string{"a", "b"} { // they fill the rack outside the block
+				is.NoErr(c.place(x, c.submit(id, "ben", "1x4@worker", nil)))
+			}
+			j := c.submit("proof", "ben", tt.shape, func(s *record.Submit) { s.Urgent = tt.urgent })
+			c.at += tt.waited
+			c.must(record.KindFence, record.Fence{})
+			_, err := x.Place(j, tt.policy)
+			is.Equal(err == nil, tt.fits)
+			c.check()
+		})
+	}
+}
--- a/placement/search.go
+++ b/placement/search.go
@@ -20,6 +20,8 @@
 type scratch struct {
 	offers []offer
 	after  []shape.Slot
+	units  []unitUsage
+	kept   bool // the last search was refused to spare a unit
 }
 
 // choice is a possible placement.
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -120,6 +120,11 @@
 		c.submit(fmt.Sprintf("a%02d", i), "asha", "1x1@worker", 60_000, nil)
 		c.submit(fmt.Sprintf("b%02d", i), "ben", "1x1@worker", 60_000, nil)
 	}
+	// Small jobs spare the last unit that fits the guaranteed shape at first; a
+	// policy that weighs completion this high lets them take it after 1.8 ms.
+	c.scheduler.Policy.Completion = 1e6
+	c.at += 1000
+	c.must(record.KindFence, record.Fence{})
 	c.round()
 	is.Equal(c.state.Accounts["asha"].Used, 16+8)
 	is.Equal(c.state.Accounts["ben"].Used, 8)
