Tell the truth about expired ids, follow the list for backend servers

Cause: an id older than claims are kept was answered notrun although an earlier sending may have run. The platform's list was not used for leaving backend servers, an instance was ready before its router was, and net/http writes parts of unexpected answers to the standard logger.

Ruled out: keeping claims for longer, which only moves the limit.

The two assertions on expired ids now demand the fate unknown.

--- a/caller/api.go
+++ b/caller/api.go
@@ -324,7 +324,7 @@
 	switch {
 	case fate == record.FateDone:
 		return http.StatusOK
-	case fate == record.FateUnknown && reason == route.ReasonClaimed:
+	case fate == record.FateUnknown && (reason == route.ReasonClaimed || reason == route.ReasonExpired):
 		return http.StatusConflict
 	case fate == record.FateUnknown:
 		return http.StatusBadGateway
@@ -334,7 +334,7 @@
 		return http.StatusBadRequest
 	case route.ReasonService, route.Reason(state.ReasonUnknown):
 		return http.StatusNotFound
-	case route.ReasonExists, route.ReasonExpired:
+	case route.ReasonExists:
 		return http.StatusConflict
 	case route.ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/caller/api_test.go
+++ b/caller/api_test.go
@@ -88,7 +88,7 @@
 		{"no id", "ta", "badges", "x", nil, 400, record.FateNotRun, "field", "Request-Id"},
 		{"id without time", "ta", "badges", "x", []string{"Request-Id: abc"}, 400, record.FateNotRun, "field", "Request-Id"},
 		{"id with space", "ta", "badges", "x", []string{"Request-Id: a b", "Repeatable: true"}, 400, record.FateNotRun, "field", "Request-Id"},
-		{"old id", "ta", "badges", "x", []string{"Request-Id: 1000-a"}, 409, record.FateNotRun, "expired", ""},
+		{"old id", "ta", "badges", "x", []string{"Request-Id: 1000-a"}, 409, record.FateUnknown, "expired", "1000-a"},
 		{"priority", "ta", "badges", "x", []string{"Repeatable: true", "Priority: high"}, 400, record.FateNotRun, "field", "Priority"},
 		{"repeatable value", "ta", "badges", "x", []string{"Repeatable: maybe"}, 400, record.FateNotRun, "field", "Repeatable"},
 		{"deadline value", "ta", "badges", "x", []string{"Repeatable: true", "Deadline-Ms: -1"}, 400, record.FateNotRun, "field", "Deadline-Ms"},
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -162,7 +162,8 @@
 		}
 		return unknown(route.ReasonClaimed, out[0].Detail), false
 	case state.ReasonExpired:
-		return notRun(route.ReasonExpired, "", 0), false
+		// An earlier sending of the id may have run; its claim is forgotten.
+		return unknown(route.ReasonExpired, q.ID), false
 	default:
 		return notRun(route.Reason(out[0].Reason), out[0].Detail, 0), false
 	}
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -111,7 +111,9 @@
 	other := request(id, false, 5*time.Second)
 	other.Account = "binu"
 	is.Equal(b.Do(context.Background(), other).Reason, route.ReasonExists)
-	is.Equal(b.Do(context.Background(), request("1-old", false, 5*time.Second)).Reason, route.ReasonExpired)
+	old := b.Do(context.Background(), request("1-old", false, 5*time.Second))
+	is.Equal(old.Reason, route.ReasonExpired)
+	is.Equal(old.Fate, record.FateUnknown) // an earlier sending may have run
 }
 
 // A settle whose answer was lost may reach the log after a later claim of the
--- a/cmd/laned/main.go
+++ b/cmd/laned/main.go
@@ -7,6 +7,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,6 +18,9 @@
 )
 
 func main() {
+	// net/http writes parts of unexpected answers to the standard logger, which
+	// may hold callers' data.
+	log.SetOutput(io.Discard)
 	path := flag.String("settings", "laned.ini", "settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -48,6 +48,7 @@
 	table    *route.Table
 	router   *caller.Router
 	liveness *member.Liveness
+	listing  *listing
 	peers    *peer.Client
 	members  atomic.Pointer[[]*state.Member]
 	ids      atomic.Uint64
@@ -135,6 +136,7 @@
 	}
 	n.peers = &peer.Client{}
 	list := &platform.Directory{URL: set.Platform.List}
+	n.listing = &listing{list: list.List, set: n.table.SetListed, logger: n.Logger}
 	n.liveness = &member.Liveness{
 		Writer: n.Writer, View: r.View, Propose: r.Propose, List: list.List, Ping: n.peers.Ping, Ask: n.peers.Reach,
 		Fresh: n.mayAct, Logger: n.Logger,
@@ -152,7 +154,7 @@
 		return &NotReadyError{"upgrade"}
 	case st.Fenced:
 		return &NotReadyError{"fenced"}
-	case !st.Ready:
+	case !st.Ready || !n.router.Ready():
 		return &NotReadyError{"loading"}
 	case !st.Fresh:
 		return &NotReadyError{"lagging"}
@@ -195,6 +197,7 @@
 		{"starter", n.starter.Run},
 		{"router", n.router.Run},
 		{"liveness", n.liveness.Run},
+		{"listing", n.listing.run},
 		{"peers", n.servePeers},
 		{"drain", n.awaitDrain},
 	}
