--- a/schedule/quarantine.go
+++ b/schedule/quarantine.go
@@ -9,20 +9,39 @@
 	"jasminelane.example/lane/state"
 )
 
-// Rules of quarantine; times are in milliseconds. They are the defaults of
-// worker.Quarantine, by which the keeper of a worker proposes the same.
+// Bounds of quarantine in one round and in all.
 const (
-	quarantineJobs     = 3                // different jobs that failed on the worker
-	quarantineAccounts = 2                // different accounts of these jobs
-	quarantineRatio    = 0.5              // of failures on the worker, with
-	fleetRatio         = 0.25             // of failures on all others below this
-	quarantineWindow   = int64(30 * 60e3) // in which the jobs failed
-	quarantineDelay    = int64(60e3)      // until the first probe; doubles each time
-	quarantineMax      = int64(60 * 60e3) // between two probes at most
-	quarantineRecords  = 4                // workers a round
-	maxAside           = 20               // one worker in so many may be set aside at once
+	quarantineRecords = 4  // workers a round
+	maxAside          = 20 // one worker in so many may be set aside at once
 )
 
+// Quarantine decides which workers are set aside because they fail tasks, and
+// when they are probed again. Several jobs of several accounts must have
+// failed on a worker that do better elsewhere, so one bad job, or the jobs of
+// one account, cannot take workers out of service.
+type Quarantine struct {
+	Jobs     int     // failed jobs, default 3
+	Accounts int     // of this many accounts, default 2
+	Window   int64   // within this time, milliseconds, default 30 min
+	Ratio    float64 // of failures on the worker, default 0.5
+	Fleet    float64 // the ratio of all others must be below this, default 0.25
+	Probe    int64   // until the first probe, milliseconds, default 1 min; doubles each time
+	MaxProbe int64   // between two probes at most, milliseconds, default 1 h
+}
+
+func (q Quarantine) withDefaults() Quarantine {
+	q.Jobs, q.Accounts = orDefault(q.Jobs, 3), orDefault(q.Accounts, 2)
+	q.Window = orDefault(q.Window, 30*60_000)
+	q.Probe, q.MaxProbe = orDefault(q.Probe, 60_000), orDefault(q.MaxProbe, 60*60_000)
+	if q.Ratio <= 0 {
+		q.Ratio = 0.5
+	}
+	if q.Fleet <= 0 {
+		q.Fleet = 0.25
+	}
+	return q
+}
+
 // quarantine finds workers that fail the jobs of several accounts, to be set
 // aside, and those to be probed after a delay that doubles each time. What an
 // operator set aside stays. The records are proposed at the end of the round,
@@ -51,47 +70,62 @@
 			if len(w.Failures) == 0 || (aside+1)*maxAside > max(maxAside, workers) {
 				continue
 			}
-			if r.faulty(w, done-float64(w.Done), failed-float64(w.Failed)) {
+			if r.Quarantine.Suspect(r.state, w, done-float64(w.Done), failed-float64(w.Failed), r.now) {
 				aside++
 				r.condition(w, record.ConditionAside, state.CauseFailures)
 			}
 		case record.ConditionAside:
-			if w.Cause == state.CauseFailures && r.now-w.Since >= probeDelay(w) {
+			if r.Quarantine.Due(w, r.now) {
 				r.condition(w, record.ConditionReady, "probe")
 			}
 		}
 	}
 }
 
-// probeDelay returns how long a worker stays aside, in milliseconds.
-func probeDelay(w *state.Worker) int64 {
-	delay := quarantineDelay
-	for n := 1; n < int(w.Strikes) && delay < quarantineMax; n++ {
+// Due reports whether a worker that was set aside for failures is to be tried
+// again; now is in Unix milliseconds.
+func (q Quarantine) Due(w *state.Worker, now int64) bool {
+	q = q.withDefaults()
+	if w.Cause != state.CauseFailures {
+		return false // set aside by an operator
+	}
+	delay := q.Probe
+	for n := 1; n < int(w.Strikes) && delay < q.MaxProbe; n++ {
 		delay *= 2
 	}
-	return min(delay, quarantineMax)
+	return now-w.Since >= min(delay, q.MaxProbe)
 }
 
-// faulty reports whether the worker rather than its jobs is at fault; done and
-// failed count the tasks of all other workers in service.
-func (r *round) faulty(w *state.Worker, done, failed float64) bool {
+// Suspect reports whether the worker rather than its jobs is at fault; done and
+// failed count the tasks of all other workers in service. Workers that are set
+// aside are left out of those, because they would hide that the rest does well.
+func (q Quarantine) Suspect(s *state.State, w *state.Worker, done, failed float64, now int64) bool {
+	q = q.withDefaults()
 	jobs, accounts := map[string]bool{}, map[string]bool{}
 	better := true // all of the jobs succeeded elsewhere
 	for _, f := range w.Failures {
-		if f.At < w.Since || r.now-f.At > quarantineWindow {
+		if f.At < w.Since || now-f.At > q.Window {
 			continue
 		}
-		j := r.state.Jobs[f.Job]
-		if w.Strikes > 0 && j != nil && !slices.ContainsFunc(j.FailedOn, func(i uint32) bool { return i != w.Index }) {
+		j := s.Jobs[f.Job]
+		if w.Strikes > 0 && j != nil && onlyHere(j, w) {
 			return true // on probation, one failure that is not the job's own is enough
 		}
 		jobs[f.Job], accounts[f.Account] = true, true
 		better = better && j != nil && j.Phase == state.JobDone
 	}
-	if len(jobs) < quarantineJobs || len(accounts) < quarantineAccounts {
+	if len(jobs) < q.Jobs || len(accounts) < q.Accounts {
 		return false
 	}
-	return better || float64(w.Failed) > quarantineRatio*float64(w.Failed+w.Done) && done > 0 && failed < fleetRatio*(done+failed)
+	if better {
+		return true
+	}
+	return float64(w.Failed) > q.Ratio*float64(w.Failed+w.Done) && done > 0 && failed < q.Fleet*(done+failed)
+}
+
+// onlyHere reports whether the job has failed on no other worker.
+func onlyHere(j *state.Job, w *state.Worker) bool {
+	return !slices.ContainsFunc(j.FailedOn, func(i uint32) bool { return i != w.Index })
 }
 
 // condition notes a change of the worker's condition for the end of the round.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -28,6 +28,8 @@
 	Index  *placement.Index
 	Policy placement.Policy
 
+	Quarantine Quarantine
+
 	Round        int   // records a round at most; default DefaultRound
 	Tries        int   // placements tried a round at most; default DefaultTries
 	Ageing       int64 // milliseconds of waiting that outweigh the use of all capacity; default DefaultAgeing
--- a/worker/keeper.go
+++ b/worker/keeper.go
@@ -42,12 +42,11 @@
 	Sync    func(ctx context.Context, addr string, q SyncRequest) (SyncAnswer, error)
 	Count   func(event string) // counts events such as "sync.stale"; nil means nobody counts
 
-	Lease      time.Duration // default DefaultLease
-	RankDelay  time.Duration // default DefaultRankDelay
-	Scan       time.Duration // default DefaultScan
-	Parallel   int           // default DefaultParallel
-	Quarantine Quarantine
-	Logger     *zap.Logger // default none
+	Lease     time.Duration // default DefaultLease
+	RankDelay time.Duration // default DefaultRankDelay
+	Scan      time.Duration // default DefaultScan
+	Parallel  int           // default DefaultParallel
+	Logger    *zap.Logger   // default none
 
 	mu      sync.Mutex
 	table   map[uint32]*kept
@@ -125,7 +124,6 @@
 	if k.Sync == nil {
 		k.Sync = (&Client{Timeout: k.Lease / 6}).Sync
 	}
-	k.Quarantine.defaults()
 	k.table = map[uint32]*kept{}
 	k.members = 0
 	k.slots = make(chan struct{}, k.Parallel)
--- a/worker/keeper_test.go
+++ b/worker/keeper_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/schedule"
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
@@ -256,10 +257,10 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	c.workers.Fault(standin.WorkerFault{Worker: "w1", Fail: true})
-	k := c.keeper(0)
-	k.Quarantine.Probe = 300 * time.Millisecond
-	c.run(k.Run)
+	probe := 300 * time.Millisecond
+	c.run(c.keeper(0).Run)
 	c.run(c.starter(0).Run)
+	c.run(c.quarantine(schedule.Quarantine{Probe: probe.Milliseconds()}))
 	c.run(c.schedule)
 	n := 0
 	feed := func(until string, cond func(s *state.State) bool) {
@@ -282,7 +283,7 @@
 	began := time.Now()
 	c.workers.Fault(standin.WorkerFault{Worker: "w1"})
 	feed("w1 succeeds again", func(s *state.State) bool { return s.Workers[1].Ready() && s.Workers[1].Strikes == 0 })
-	is.True(time.Since(began) > k.Quarantine.Probe) // the second wait is twice the first
+	is.True(time.Since(began) > probe) // the second wait is twice the first
 	c.view(func(s *state.State) {
 		for _, j := range s.Jobs {
 			is.True(j.Phase != state.JobFailed) // no job suffered from the worker
@@ -290,6 +291,55 @@
 	})
 }
 
+// quarantine returns an actor that sets workers aside and returns them by the
+// rules of package schedule.
+func (c *cluster) quarantine(q schedule.Quarantine) func(context.Context) error {
+	return func(ctx context.Context) error {
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+			}
+			for _, h := range c.conditions(q, time.Now().UnixMilli()+c.ahead) {
+				r, err := record.New(record.KindHealth, "", h)
+				if err != nil {
+					return err
+				}
+				if _, err := c.propose(ctx, r); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+func (c *cluster) conditions(q schedule.Quarantine, now int64) []record.Health {
+	var out []record.Health
+	c.view(func(s *state.State) {
+		for _, w := range s.Workers {
+			var done, failed float64
+			for _, o := range s.Workers {
+				if o != w && o.Condition != record.ConditionAside {
+					done += float64(o.Done)
+					failed += float64(o.Failed)
+				}
+			}
+			h := record.Health{Worker: w.Index, Revision: w.Revision, Cause: "probe"}
+			switch {
+			case w.Condition == record.ConditionAside && q.Due(w, now):
+				out = append(out, h)
+			case w.Ready() && q.Suspect(s, w, done, failed, now):
+				h.Condition, h.Cause = record.ConditionAside, state.CauseFailures
+				out = append(out, h)
+			}
+		}
+	})
+	return out
+}
+
 func openJobs(s *state.State) int {
 	n := 0
 	for _, j := range s.Jobs {
--- a/worker/transition.go
+++ b/worker/transition.go
@@ -69,22 +69,11 @@
 	if res := append(Results(s, w, e.request, *e.answer), unarmed(s, w, *e.answer)...); len(res) > 0 {
 		out = add(out, k.Logger, record.KindReport, record.Report{Worker: w.Index, Results: res})
 	}
-	switch w.Condition {
-	case record.ConditionLost:
-		if e.answered.After(e.lost) {
-			if cause, ok := strings.CutPrefix(w.Cause, causeLostAside); ok {
-				return k.health(out, w, record.ConditionAside, cause), "back"
-			}
-			return k.health(out, w, record.ConditionReady, causeReachable), "back"
-		}
-	case record.ConditionAside:
-		if k.Quarantine.Due(s, w) {
-			return k.health(out, w, record.ConditionReady, causeProbe), "probe"
-		}
-	case record.ConditionReady:
-		if k.Quarantine.Suspect(s, w) {
-			return k.health(out, w, record.ConditionAside, state.CauseFailures), "aside"
+	if w.Condition == record.ConditionLost && e.answered.After(e.lost) {
+		if cause, ok := strings.CutPrefix(w.Cause, causeLostAside); ok {
+			return k.health(out, w, record.ConditionAside, cause), "back"
 		}
+		return k.health(out, w, record.ConditionReady, causeReachable), "back"
 	}
 	return out, "report"
 }
