Test replica, liveness and peer calls together

Cause: liveness was only tested with functions in place of the replica and the peer calls, so a mismatch between the packages would have gone unnoticed.

Ruled out: processes of their own for this test; one process with real TCP connections shows the same.

Change: three instances with replica, liveness and peer server run against the stand-ins; one stops without leaving and is evicted, both when the list has dropped it and when the list still shows it.

--- /dev/null
+++ b/member/wired_test.go
@@ -0,0 +1,120 @@
+package member_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/member"
+	"jasminelane.example/lane/peer"
+	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/replica"
+	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/state"
+)
+
+// instance is a replica with its liveness and peer server.
+type instance struct {
+	*replica.Replica
+	live *member.Liveness
+	stop context.CancelFunc
+}
+
+func startInstance(t *testing.T, name, logURL, listURL string) *instance {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := &instance{}
+	in.Replica = &replica.Replica{
+		Log: &platform.Log{URL: logURL}, Writer: name + "/1", ReadyDelay: -1,
+		Join:      record.Join{Name: name, Addr: l.Addr().String(), Version: record.Version},
+		OnOutcome: func(o state.Outcome) { in.live.Observe(o) },
+	}
+	calls := &peer.Client{Timeout: 200 * time.Millisecond}
+	in.live = &member.Liveness{
+		Writer: in.Writer, View: in.View, Propose: in.Propose,
+		Fresh: func() bool { s := in.Status(); return s.Ready && s.Fresh && !s.LogDown },
+		List:  (&platform.Directory{URL: listURL}).List,
+		Ping:  calls.Ping, Ask: calls.Reach,
+		Interval: 20 * time.Millisecond, PingTimeout: 200 * time.Millisecond, ListMaxAge: 20 * time.Millisecond,
+		Suspect: 300 * time.Millisecond, Confirm: 900 * time.Millisecond,
+	}
+	server := &peer.Server{Writer: in.Writer, Reach: in.live.Reach}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop = cancel
+	ended := make(chan error, 3)
+	for _, f := range []func(context.Context) error{
+		in.Run, in.live.Run, func(ctx context.Context) error { return server.Serve(ctx, l) },
+	} {
+		go func() { ended <- f(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range cap(ended) {
+			<-ended
+		}
+		calls.Close()
+	})
+	in.await(t, func(s replica.Status) bool { return s.Ready })
+	return in
+}
+
+func (in *instance) await(t *testing.T, cond func(replica.Status) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := in.Await(ctx, cond); err != nil {
+		t.Fatal(err, in.Status())
+	}
+}
+
+// TestInstances guards against replica, liveness and peer calls that do not fit
+// together: a dead instance must be evicted, whether the list has noticed its
+// end or not, and the live ones must stay.
+func TestInstances(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		name := "dead and not listed"
+		if listed {
+			name = "dead and still listed"
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			logServer := httptest.NewServer(&standin.Log{})
+			list := &standin.Directory{}
+			listServer := httptest.NewServer(list)
+			t.Cleanup(func() {
+				logServer.CloseClientConnections()
+				logServer.Close()
+				listServer.Close()
+			})
+			list.Set([]platform.Instance{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+			var all []*instance
+			for _, n := range []string{"a", "b", "c"} {
+				all = append(all, startInstance(t, n, logServer.URL, listServer.URL))
+			}
+			all[2].stop()
+			if !listed {
+				list.Set([]platform.Instance{{Name: "a"}, {Name: "b"}})
+			}
+			writers := func(in *instance) (out []string) {
+				in.View(func(s *state.State) {
+					for _, m := range s.Members {
+						out = append(out, m.Writer)
+					}
+				})
+				return out
+			}
+			for _, in := range all[:2] {
+				in.await(t, func(replica.Status) bool { return len(writers(in)) == 2 })
+				is.Equal(writers(in), []string{"a/1", "b/1"})
+			}
+		})
+	}
+}
