--- a/cli/call.go
+++ b/cli/call.go
@@ -49,7 +49,7 @@
 		r, err := f.callers().Job(f.ctx, job, max(time.Millisecond, min(step, left)))
 		switch {
 		case err != nil:
-			return t.reply(f, r, err)
+			return exitFor(err, true)
 		case r.Job == nil, r.Fate != "":
 			return t.reply(f, r, nil)
 		case left <= 0:
--- a/cli/client.go
+++ b/cli/client.go
@@ -24,7 +24,8 @@
 }
 
 // exitFor attaches an exit code; reading says that the call changed nothing,
-// so that a missing answer leaves no fate unknown.
+// so that a missing answer leaves no fate unknown. Nor does a connection that
+// was never made.
 func exitFor(err error, reading bool) error {
 	var refusal *operator.Refusal
 	var unreachable *client.UnreachableError
@@ -35,7 +36,7 @@
 		return &exitError{ExitUnknown, err}
 	case errors.As(err, &refusal):
 		return &exitError{ExitRefused, err}
-	case errors.As(err, &unreachable) && reading:
+	case errors.As(err, &unreachable) && (reading || unreachable.NotSent()):
 		return &exitError{ExitUnreachable, err}
 	case errors.As(err, &unreachable):
 		return &exitError{ExitUnknown, err}
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +20,8 @@
 func runCheck(t *Tool, f *flags) error {
 	name := f.String("name", "", "name of the configuration record, for example account/asha")
 	online := f.Bool("online", false, "also ask an instance whether it could be published now")
+	base := f.String("base", "", "online: version that the record would replace; default not compared")
+	reader := f.Uint("reader", 1, "online: lowest program version that interprets the record safely")
 	if err := f.parse(1); err != nil {
 		return err
 	}
@@ -26,8 +30,7 @@
 		if _, err := settings.Read(path); err != nil {
 			return &exitError{ExitInvalid, err}
 		}
-		fmt.Fprintf(t.Out, "%s: ok\n", path)
-		return nil
+		return t.showOK(f, path)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -40,12 +43,21 @@
 		return &exitError{ExitInvalid, err}
 	}
 	if *online {
-		if _, err := operate[map[string]string](f, http.MethodPut, "/v1/config/"+*name, url.Values{"check": {"true"}}, data); err != nil {
+		query := url.Values{"check": {"true"}, "reader": {fmt.Sprint(*reader)}}
+		if *base != "" {
+			query.Set("base", *base)
+		}
+		if _, err := operate[map[string]string](f, http.MethodPut, "/v1/config/"+*name, query, data); err != nil {
 			return err
 		}
 	}
-	fmt.Fprintf(t.Out, "%s: ok\n", path)
-	return nil
+	return t.showOK(f, path)
+}
+
+func (t *Tool) showOK(f *flags, path string) error {
+	return t.show(f, map[string]string{"file": path, "check": "ok"}, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: ok\n", path)
+	})
 }
 
 func runPublish(t *Tool, f *flags) error {
@@ -262,8 +274,8 @@
 		row(w, "workers", s.Workers)
 		row(w, "jobs", s.Jobs)
 		row(w, "claims", s.Claims)
-		for reason, n := range s.Refused {
-			row(w, "refused "+string(reason), n)
+		for _, reason := range slices.Sorted(maps.Keys(s.Refused)) {
+			row(w, "refused "+string(reason), s.Refused[reason])
 		}
 	})
 }
@@ -272,11 +284,11 @@
 	if err := f.parse(0); err != nil {
 		return err
 	}
-	if _, err := operate[map[string]string](f, http.MethodPost, "/v1/drain", nil, nil); err != nil {
+	out, err := operate[map[string]string](f, http.MethodPost, "/v1/drain", nil, nil)
+	if err != nil {
 		return err
 	}
-	fmt.Fprintln(t.Out, "drain started")
-	return nil
+	return t.show(f, out, func(w io.Writer) { fmt.Fprintln(w, "drain started") })
 }
 
 func runKill(t *Tool, f *flags) error {
--- a/client/client.go
+++ b/client/client.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -55,6 +57,13 @@
 // Error describes the answer.
 func (e *AnswerError) Error() string { return e.Status + ": " + e.Body }
 
+// NotSent reports that no connection was made, so that the call was certainly
+// not carried out.
+func (e *UnreachableError) NotSent() bool {
+	var op *net.OpError
+	return errors.As(e.Err, &op) && op.Op == "dial"
+}
+
 var defaultHTTP = &http.Client{Timeout: defaultTimeout}
 
 // call sends the request and returns the answer's status and body.
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,8 @@
-// Command standin serves one of the stand-ins for the systems around the
-// project, on loopback by default.
+// Command standin serves the stand-ins for the systems around the project, on
+// loopback by default. One process serves the log, the instance list and the
+// workers at one address; backend servers listen on addresses of their own.
+//
+//	standin -addr 127.0.0.1:6000 -servers 3
 package main
 
 import (
@@ -10,38 +13,50 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"jasminelane.example/lane/standin"
 )
 
+// parts are the stand-ins that -serve names.
+var parts = []string{"log", "list", "workers", "servers"}
+
 func main() {
-	serve := flag.String("serve", "log", "stand-in to serve: log or directory")
-	addr := flag.String("addr", "127.0.0.1:7400", "address to listen on, IP:port")
-	retention := flag.Duration("retention", 0, "log: expire entries older than this; 0 keeps all")
-	rate := flag.Int("rate", 0, "log: appends accepted in a second; 0 means no limit")
+	site := &standin.Site{}
+	serve := flag.String("serve", strings.Join(parts, ","), "stand-ins to serve")
+	addr := flag.String("addr", "127.0.0.1:6000", "address of log, list and workers, IP:port")
+	flag.DurationVar(&site.Log.Retention, "retention", 0, "log: expire entries older than this; 0 keeps all")
+	flag.IntVar(&site.Log.Rate, "rate", 0, "log: appends accepted in a second; 0 means no limit")
+	count := flag.Int("servers", 3, "number of backend servers, on the ports after that of -addr")
+	flag.DurationVar(&site.Backends.Service, "service", 20*time.Millisecond, "service time of a request on a backend server")
 	flag.Parse()
 
-	handlers := map[string]http.Handler{
-		"log":       &standin.Log{Retention: *retention, Rate: *rate},
-		"directory": &standin.Directory{},
-	}
-	h, ok := handlers[*serve]
-	if !ok {
-		fmt.Fprintf(os.Stderr, "standin: -serve=%s: want log or directory\n", *serve)
+	var err error
+	if site.Serve, err = standin.ParseParts(*serve, parts); err != nil {
+		fmt.Fprintf(os.Stderr, "standin: -serve: %v\n", err)
 		os.Exit(2)
 	}
-	if err := run(*addr, h); err != nil {
+	if err := run(site, *addr, *count); err != nil {
 		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(addr string, h http.Handler) error {
+func run(site *standin.Site, addr string, count int) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	defer site.Backends.Close()
+	servers, err := site.Start(addr, count)
+	if err != nil {
+		return err
+	}
+	for _, s := range servers {
+		fmt.Printf("server %s at %s\n", s.Name, s.Addr)
+	}
+	fmt.Printf("%s at %s\n", strings.Join(site.Serve, ", "), addr)
+	server := &http.Server{Addr: addr, Handler: site, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- a/demo/bench.go
+++ b/demo/bench.go
@@ -222,6 +222,11 @@
 	return &client.Client{Base: "http://" + b.ready()[0].Operators.Addr().String(), Token: Token(operatorName)}
 }
 
+// Caller returns a client of a ready instance's callers' address.
+func (b *Bench) Caller(account string) *client.Client {
+	return &client.Client{Base: "http://" + b.ready()[0].Callers.Addr().String(), Token: Token(account)}
+}
+
 // publishAll publishes the fleet, the accounts and the services.
 func (b *Bench) publishAll(ctx context.Context) error {
 	op := b.Operator()
--- a/operator/api.go
+++ b/operator/api.go
@@ -139,6 +139,8 @@
 		return http.StatusNotFound
 	case state.ReasonConflict, state.ReasonStale, state.ReasonPhase, state.ReasonExists, state.ReasonBusy, state.ReasonUpgrade, state.ReasonInfeasible:
 		return http.StatusConflict
+	case reasonSize:
+		return http.StatusRequestEntityTooLarge
 	case reasonLogDown:
 		return http.StatusServiceUnavailable
 	default:
@@ -184,7 +186,11 @@
 	return a.Now()
 }
 
-const reasonLogDown = "logdown"
+// Reasons of this API that the fold does not know.
+const (
+	reasonLogDown = "logdown"
+	reasonSize    = "size" // body beyond its limit
+)
 
 // propose appends one record and returns its outcome; it fails with *Refusal.
 func propose[T any](ctx context.Context, a *API, kind record.Kind, body T) (state.Outcome, error) {
--- a/operator/config.go
+++ b/operator/config.go
@@ -86,7 +86,11 @@
 func (a *API) publish(r *http.Request, who string) (any, error) {
 	p := record.Publish{Name: configName(r), By: who, Schema: 1, Reader: 1}
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	var size *http.MaxBytesError
+	switch {
+	case errors.As(err, &size):
+		return nil, &Refusal{record.FateNotRun, reasonSize, "body: " + err.Error()}
+	case err != nil:
 		return nil, &Refusal{record.FateNotRun, string(state.ReasonField), "body: " + err.Error()}
 	}
 	if r.Method == http.MethodPut {
@@ -118,7 +122,7 @@
 		return nil, &Refusal{record.FateNotRun, string(state.ReasonField), err.Error()}
 	}
 	if r.URL.Query().Get("check") == "true" {
-		return a.checkOnly(p)
+		return a.checkOnly(p, r.URL.Query().Has("base"))
 	}
 	begin := a.now()
 	o, err := a.publishPlanned(r.Context(), p)
@@ -146,7 +150,29 @@
 	return nil
 }
 
-func (a *API) checkOnly(p record.Publish) (any, error) {
+// checkOnly refuses what a publish of p would be refused for now; the version
+// is compared only when the request names one.
+func (a *API) checkOnly(p record.Publish, base bool) (any, error) {
+	var refusal *Refusal
+	a.View(func(s *state.State) {
+		var version uint64
+		if c := s.Configs[p.Name]; c != nil {
+			version = c.Version
+		}
+		if base && version != p.Base {
+			refusal = &Refusal{record.FateNotRun, string(state.ReasonConflict), strconv.FormatUint(version, 10)}
+			return
+		}
+		for _, m := range s.Members {
+			if p.Reader > m.Version {
+				refusal = &Refusal{record.FateNotRun, string(state.ReasonUpgrade), m.Name}
+				return
+			}
+		}
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
 	if err := a.plan(&p); err != nil {
 		return nil, err
 	}
--- a/operator/table.go
+++ b/operator/table.go
@@ -163,6 +163,10 @@
 func (a *API) jobs(r *http.Request, _ string) (any, error) {
 	const limit = 1000
 	phase, account := r.URL.Query().Get("phase"), r.URL.Query().Get("account")
+	if phase != "" && !slices.Contains(phases(), phase) {
+		// An empty list would look as if no job were in the phase meant.
+		return nil, &Refusal{record.FateNotRun, string(state.ReasonField), "phase: want one of " + strings.Join(phases(), ", ")}
+	}
 	out := []Job{}
 	a.View(func(s *state.State) {
 		var list []*state.Job
@@ -179,6 +183,15 @@
 	return out, nil
 }
 
+// phases returns the names of all phases of a job.
+func phases() []string {
+	var out []string
+	for p := state.JobWaiting; p <= state.JobUnknown; p++ {
+		out = append(out, p.String())
+	}
+	return out
+}
+
 func (a *API) job(r *http.Request, _ string) (any, error) {
 	var out *Job
 	a.View(func(s *state.State) {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -86,8 +86,12 @@
 }
 
 // Add starts a server on a free loopback port; it fails when none is left.
-func (b *Backends) Add(name string) (*BackendServer, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (b *Backends) Add(name string) (*BackendServer, error) { return b.AddAt(name, "127.0.0.1:0") }
+
+// AddAt starts a server at the address, IP:port; it fails when that cannot be
+// listened on.
+func (b *Backends) AddAt(name, addr string) (*BackendServer, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
