Count a departed member from the moment it was found to have left

Cause: shares of connections are to grow one second after a leave, because servers need time to notice that the connections of the instance are closed. The second was counted from the last look at the state in which the member was present. With an idle log that look may be a minute old, so the shares grew with the same look that found the leave.

Ruled out: the test with changing members does not show this, because its members change more often than once a second; removing the delay altogether does not fail it either.

Change: the delay starts when the member is first found missing. A new test runs on a simulated clock, with a leave after an idle minute.

Measured: the new test failed before the change (shares of one member instead of two) and passes after it; it also fails with the delay removed and with the start of the delay removed. The tests of the package pass with the race detector in 28 s.

Conclusion: the delay now holds after idle times too. Whether one second is enough on a real network is not shown.

--- a/caller/feed.go
+++ b/caller/feed.go
@@ -138,22 +138,28 @@
 	case r.joined.IsZero():
 		r.joined = t
 	}
-	if r.seen == nil {
-		r.seen = map[string]time.Time{}
+	if r.left == nil {
+		r.left = map[string]time.Time{}
 	}
+	present := make(map[string]bool, len(members))
 	for _, m := range members {
-		r.seen[m] = t
+		present[m] = true
+		r.left[m] = time.Time{}
 	}
 	r.departed = false
-	for m, last := range r.seen {
+	for m, left := range r.left {
 		switch {
-		case last == t:
-		case t.Sub(last) >= delay:
-			delete(r.seen, m)
-		default:
-			r.departed = true
-			members = append(members, m)
+		case present[m]:
+			continue
+		case left.IsZero():
+			// The delay starts here: the last look at the state may be long ago.
+			r.left[m] = t
+		case t.Sub(left) >= delay:
+			delete(r.left, m)
+			continue
 		}
+		r.departed = true
+		members = append(members, m)
 	}
 	r.ready = member && !r.drained && t.Sub(r.joined) >= delay
 	if !r.ready {
--- a/caller/router.go
+++ b/caller/router.go
@@ -64,7 +64,7 @@
 	settler  bool
 
 	joined   time.Time
-	seen     map[string]time.Time // when each member was last in the state
+	left     map[string]time.Time // when each former member was found to have left; zero for members
 	departed bool                 // a member that left still counts
 	ready    bool
 
