--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// Two callers may choose the same request id at a time. An answer that the
+// server swaps between them carries the id that was asked for, so only the
+// attempt's own id shows that it belongs to another.
+func TestCrossedWithEqualIDs(t *testing.T) {
+	is := is.New(t)
+	b := &standin.Backends{}
+	s := start(t, b)
+	s.SetFault(standin.BackendCross)
+	client := &Client{}
+	var wg sync.WaitGroup
+	var damaged atomic.Int32
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 50 {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				body := fmt.Sprintf("%d.%d", g, i)
+				a, err := client.Do(ctx, s.Addr, &Request{ID: "same", Service: "badges", Account: "asha", Body: []byte(body)})
+				cancel()
+				if err != nil {
+					damaged.Add(1)
+				} else if string(a.Body) != "same "+body {
+					t.Errorf("request with body %s got %q", body, a.Body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.True(damaged.Load() > 0) // else no answer was crossed
+}
+
 // Without a connection nothing was sent: the request certainly did not run.
 func TestConnectRefused(t *testing.T) {
 	is := is.New(t)
