Take kept slots off before dividing a server's slots

Cause: an instance's part of a server's slots was at least one, whatever was kept from the class. With nine instances and eight slots, as Sandalwood has, one bulk request from each instance fills the server, and an urgent request waits in the server's own queue, where priorities have no effect. Change: the kept slots are taken off first and the rest is divided; with more members than that, those that rank first for the server by rendezvous hashing get one each, as for connections. An instance that has no part on any usable server may have one request of the class in flight, so that it does not refuse the class for ever.

--- a/route/table.go
+++ b/route/table.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jasminelane.example/lane/state"
 )
 
@@ -43,9 +41,10 @@
 	// Guarded by Table.mu.
 	slots       int
 	connections int
-	share       int  // connections that this instance may open
-	retired     bool // leaving by configuration
-	listed      bool // leaving by the instance list
+	share       int          // connections that this instance may open
+	parts       [classes]int // slots of this instance's own, by class
+	retired     bool         // leaving by configuration
+	listed      bool         // leaving by the instance list
 	leaving     int64
 	inflight    int
 	flight      [classes]int // inflight by class
@@ -144,44 +143,6 @@
 	t.reshare()
 }
 
-func (t *Table) reshare() {
-	for _, s := range t.servers {
-		s.share = t.connections(s)
-	}
-}
-
-// connections returns floor(connections / members). With more members than
-// connections, the members that rank first for the server by rendezvous
-// hashing get one each, so that the service stays usable and the sum stays
-// within the cap.
-func (t *Table) connections(s *Server) int {
-	n := len(t.members)
-	if !slices.Contains(t.members, t.self) {
-		return 0
-	}
-	if share := s.connections / n; share > 0 {
-		return share
-	}
-	mine := rendezvous(t.self, s.Addr)
-	ahead := 0
-	for _, m := range t.members {
-		if m == t.self {
-			continue
-		}
-		if h := rendezvous(m, s.Addr); h > mine || h == mine && m < t.self {
-			ahead++
-		}
-	}
-	if ahead < s.connections {
-		return 1
-	}
-	return 0
-}
-
-func rendezvous(member, subject string) uint64 {
-	return xxhash.Sum64String(member + "\x00" + subject)
-}
-
 // SetListed marks as leaving the servers that the platform's list shows as
 // leaving, by address, and clears the mark of all others.
 func (t *Table) SetListed(leaving []string) {
@@ -215,7 +176,12 @@
 	}
 	open := t.open[:0]
 	full := false
+	var spare *Server // the least loaded server of those that are full
+	holds := false    // a part of the slots of a full server, or a request in flight
 	for _, s := range v.servers {
+		for _, n := range s.flight[c:] {
+			holds = holds || n > 0
+		}
 		if slices.Contains(exclude, s.Addr) || t.leaving(s, now) {
 			continue
 		}
@@ -225,17 +191,24 @@
 		}
 		if s.inflight >= t.limit(s, now, c) {
 			full = true
+			holds = holds || s.parts[c] > 0
+			if s.inflight < s.share && (spare == nil || t.score(s, now) < t.score(spare, now)) {
+				spare = s
+			}
 			continue
 		}
 		if test {
-			s.breaker.trial = true
-			t.begin(s, now, c)
-			return s, nil
+			return t.begin(s, now, c), nil
 		}
 		open = append(open, s)
 	}
 	t.open = open
 	if len(open) == 0 {
+		// Without a slot of its own on any usable server, an instance would
+		// never send the class and so never get a report that lends it one.
+		if spare != nil && !holds {
+			return t.begin(spare, now, c), nil
+		}
 		if full {
 			return nil, &RefusedError{Reason: ReasonBusy, RetryAfter: 100}
 		}
@@ -248,16 +221,17 @@
 			s = o
 		}
 	}
-	t.begin(s, now, c)
-	return s, nil
+	return t.begin(s, now, c), nil
 }
 
-func (t *Table) begin(s *Server, now int64, c Class) {
+func (t *Table) begin(s *Server, now int64, c Class) *Server {
+	s.breaker.trial = s.breaker.until != 0
 	if s.inflight == 0 {
 		s.silent = now
 	}
 	s.inflight++
 	s.flight[c]++
+	return s
 }
 
 // Done ends a request that Pick counted.
@@ -391,43 +365,6 @@
 	return max(least, min(int64(8*usual), stallMost))
 }
 
-// limit is how many requests this instance may have in flight on the server
-// when it sends one of the class: its share of the slots or, while a report is
-// recent, all slots that others do not use, and never more than its
-// connections. An eighth of the slots is kept from normal requests and a
-// quarter from bulk ones, because a server full of long requests would make an
-// urgent one wait until the first of them ends.
-func (t *Table) limit(s *Server, now int64, c Class) int {
-	kept := 0
-	if c > Urgent && s.slots >= 4 {
-		kept = (s.slots + 7) / 8 * int(c)
-	}
-	n := max(1, s.slots/max(1, len(t.members))-kept)
-	if s.reported != 0 && now-s.reported < t.reportAge(s, c) {
-		n = max(n, s.slots-max(0, s.busy-s.own)-kept)
-	} else if c == Urgent {
-		// The own share may be full of long requests of other classes, which
-		// leave some slots to urgent ones.
-		n = max(n, s.inflight-s.flight[Urgent]+1)
-	}
-	return min(n, s.share)
-}
-
-// reportAge returns how long a report counts. Requests that take long make the
-// load of a server change as slowly, so for an urgent request a report on them
-// is better than none. Bulk requests go by recent reports only, because a wave
-// of them through several instances would fill the slots that are kept from
-// them before the reports show it.
-func (t *Table) reportAge(s *Server, c Class) int64 {
-	if c == Bulk {
-		return orDefault(t.ReportAge, 1000)
-	}
-	if c == Urgent {
-		return t.scoreAge(s)
-	}
-	return max(orDefault(t.ReportAge, 1000), int64(s.home.usual[c]))
-}
-
 // scoreAge is the age up to which a report says something about the load: the
 // usual time of the longest requests.
 func (t *Table) scoreAge(s *Server) int64 {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -304,3 +304,82 @@
 	_, err = table.Pick("badges", 6, nil, Urgent)
 	is.Equal(reason(err), ReasonBusy)
 }
+
+// Nine instances of one slot each would fill the eight slots of a server with
+// bulk requests, so that urgent ones wait until the first of these ends.
+func TestBulkOfAllInstancesLeavesSlots(t *testing.T) {
+	is := is.New(t)
+	var members []string
+	for i := range 9 {
+		members = append(members, fmt.Sprintf("i%d", i))
+	}
+	sums := map[string]int{}
+	for _, self := range members {
+		table := newTable(50)
+		table.SetMembers(self, members)
+		for {
+			s, err := table.Pick("badges", 1, nil, Bulk)
+			if err != nil {
+				break
+			}
+			sums[s.Addr]++
+		}
+	}
+	is.Equal(len(sums), 50)
+	for _, n := range sums {
+		is.Equal(n, 6)
+	}
+}
+
+// The slots that all members may fill without a report must never be more than
+// those that are not kept from the class.
+func TestPartsWithinSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := config(1, 60)
+		body.Servers[0].Slots = rapid.IntRange(1, 40).Draw(t, "slots")
+		members := make([]string, rapid.IntRange(1, 60).Draw(t, "members"))
+		for i := range members {
+			members[i] = fmt.Sprintf("i%d", i)
+		}
+		var sums [classes]int
+		var s *Server
+		for _, self := range members {
+			table := &Table{}
+			table.Update("badges", body)
+			table.SetMembers(self, members)
+			s = table.servers["10.0.0.0:80"]
+			for c, n := range s.parts {
+				sums[c] += n
+			}
+		}
+		for c, n := range sums {
+			if most := s.slots - s.kept(Class(c)); n > most || n <= most/2 {
+				t.Fatalf("%d members fill %d of %d slots with %s requests", len(members), n, most, classNames[c])
+			}
+		}
+	})
+}
+
+// With fewer slots than instances, one without a slot of its own would refuse
+// a class for ever, because only an answer lends it one.
+func TestInstanceWithoutPart(t *testing.T) {
+	is := is.New(t)
+	var members []string
+	for i := range 30 {
+		members = append(members, fmt.Sprintf("i%d", i))
+	}
+	for _, self := range members {
+		for _, c := range []Class{Urgent, Normal, Bulk} {
+			table := newTable(1)
+			table.SetMembers(self, members)
+			s, err := table.Pick("badges", 1, nil, c)
+			is.NoErr(err)
+			_, err = table.Pick("badges", 2, nil, c)
+			is.Equal(reason(err), ReasonBusy) // not more than one
+			table.Done(s, 3, Result{Verdict: Answered, Class: c, Took: 2, Loaded: true, Busy: 10})
+			s, err = table.Pick("badges", 4, nil, c)
+			is.NoErr(err) // also when the server is reported full
+			table.Done(s, 5, Result{Verdict: Failed, Class: c})
+		}
+	}
+}
