--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -131,7 +131,7 @@
 		{asha, "request none hello", ExitRefused, "service"},
 		{asha, "request badges", ExitUsage, "2 arguments"},
 		{desk, "workers", ExitOK, "r1-w3"},
-		{desk, "aside r1-w3", ExitOK, "aside"},
+		{desk, "aside r1-w3", ExitOK, "operator desk"},
 		{desk, "aside absent", ExitRefused, "unknown"},
 		{desk, "return r1-w3", ExitOK, "ready"},
 		{desk, "instances", ExitOK, "e2"},
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -218,9 +218,9 @@
 
 func (t *Tool) showWorkers(f *flags, list []operator.Worker) error {
 	return t.show(f, list, func(w io.Writer) {
-		row(w, "WORKER", "RACK", "DOMAIN", "GPUS", "USED", "RESERVED", "CONDITION")
+		row(w, "WORKER", "RACK", "DOMAIN", "GPUS", "USED", "RESERVED", "CONDITION", "CAUSE")
 		for _, x := range list {
-			row(w, x.Name, x.Rack, x.Domain, x.GPUs, x.Used, x.Reserved, x.Condition)
+			row(w, x.Name, x.Rack, x.Domain, x.GPUs, x.Used, x.Reserved, x.Condition, x.Cause)
 		}
 	})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,6 +29,8 @@
 	switch {
 	case event == "retry":
 		n.Metrics.Retry("request", reason)
+	case fate == string(record.FateNotRun) && answer:
+		n.Metrics.Refuse("request.notrun", reason)
 	case answer && reason == "":
 		n.Metrics.Count("answer." + fate)
 	case answer:
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -7,16 +7,16 @@
 )
 
 // TestCountRequest guards against answers that are counted as refusals, which
-// would raise an alarm for every request that succeeds.
+// would raise an alarm for every request that succeeds, and the reverse.
 func TestCountRequest(t *testing.T) {
 	is := is.New(t)
 	n := &Instance{}
 	for _, c := range []struct{ event, reason string }{
-		{"answer.done", ""}, {"answer.notrun", "deadline"}, {"retry", "timeout"}, {"refused", "auth"}, {"settle", "owner"},
+		{"answer.done", ""}, {"answer.notrun", "deadline"}, {"answer.unknown", "reset"}, {"retry", "timeout"}, {"refused", "auth"}, {"settle", "owner"},
 	} {
 		n.countRequest(c.event, c.reason)
 	}
-	is.Equal(n.Metrics.Events.String(), `{"answer.done": 1, "answer.notrun.deadline": 1}`)
+	is.Equal(n.Metrics.Events.String(), `{"answer.done": 1, "answer.unknown.reset": 1}`)
 	is.Equal(n.Metrics.Retried.String(), `{"request.timeout": 1}`)
-	is.Equal(n.Metrics.Refused.String(), `{"request.refused.auth": 1, "request.settle.owner": 1}`)
+	is.Equal(n.Metrics.Refused.String(), `{"request.notrun.deadline": 1, "request.refused.auth": 1, "request.settle.owner": 1}`)
 }
--- a/operator/table.go
+++ b/operator/table.go
@@ -223,6 +223,7 @@
 	Reserved  int    `json:"reserved"` // accelerators in guarantee blocks
 	Condition string `json:"condition"`
 	Since     int64  `json:"since"`
+	Cause     string `json:"cause,omitempty"` // of the condition
 }
 
 func (a *API) workers(_ *http.Request, _ string) (any, error) {
@@ -241,7 +242,7 @@
 func workerView(w *state.Worker) Worker {
 	v := Worker{
 		Name: w.Name, Rack: w.Rack.Name, Domain: w.Rack.Domain.Name, GPUs: w.GPUs,
-		Used: w.Used().Count(), Reserved: w.Reserved().Count(), Condition: string(w.Condition), Since: w.Since,
+		Used: w.Used().Count(), Reserved: w.Reserved().Count(), Condition: string(w.Condition), Since: w.Since, Cause: w.Cause,
 	}
 	if v.Condition == "" {
 		v.Condition = "ready"
