--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,7 +28,7 @@
 func TestExamples(t *testing.T) {
 	paths, err := filepath.Glob("../examples/*.ini")
 	is.New(t).NoErr(err)
-	is.New(t).Equal(len(paths), 2)
+	is.New(t).Equal(len(paths), 3)
 	for _, p := range paths {
 		t.Run(filepath.Base(p), func(t *testing.T) {
 			is := is.New(t)
