--- /dev/null
+++ b/replica/doubt_test.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/standin"
+)
+
+// TestRefusedAfterLostAnswer guards against a proposal that is reported as not
+// appended because its second append was refused, while the first one, whose
+// answer was lost, takes effect late.
+func TestRefusedAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	var armed atomic.Bool
+	var posts atomic.Int32
+	a := f.start("a", func(r *Replica) {
+		r.Log.Client = &http.Client{Transport: hooked(func(q *http.Request) error {
+			if armed.Load() && q.Method == http.MethodPost && posts.Add(1) == 2 {
+				f.log.Fault(standin.LogFault{NoAppends: ptr(true)})
+			}
+			return nil
+		})}
+	}).ready()
+	f.log.Fault(standin.LogFault{Drop: ptr(1), Late: ptr(int64(1500))})
+	armed.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := a.Propose(ctx, policy(t, "x", 0))
+	var unknown *UnknownError
+	is.True(errors.As(err, &unknown))
+	is.True(posts.Load() >= 2) // else nothing was refused
+	a.await("the late append", func(Status) bool { return a.version("x") > 0 })
+	f.log.Fault(standin.LogFault{NoAppends: ptr(false)})
+	o, err := a.publish("y", 0)
+	is.NoErr(err)
+	is.True(o.Accepted()) // the sequence goes on
+	entries, _ := f.copies("x")
+	is.Equal(entries, 1)
+}
