Limit the workers that keepers set aside to one in twenty

Cause: the scheduler sets aside one worker in twenty at most. The keeper proposes to set workers aside by the same rule but without the limit, so a fault of many workers at a time could take them all out of service.

Ruled out: the fold does not check the limit, and the test of the scheduler runs without keepers, so neither shows this.

Change: Quarantine.Suspect has the limit too, as the field Most. Workers without failures are passed over first, so a scan costs no more for them.

Measured: the new test TestSuspectLimit failed before the change (the second of 39 workers was set aside) and passes after it. The tests of package worker pass with the race detector; TestReplay and TestRepeatable of package trace pass.

Conclusion: the limit holds for keepers that see each other's decisions.

--- a/worker/quarantine.go
+++ b/worker/quarantine.go
@@ -20,6 +20,7 @@
 	Fleet    float64       // the ratio of all others must be below this, default 0.25
 	Probe    time.Duration // until the first probe, default 1 min; doubles each time
 	MaxProbe time.Duration // between two probes at most, default 1 h
+	Most     int           // one worker in so many may be set aside at once, default 20
 }
 
 func (q *Quarantine) defaults() {
@@ -44,11 +45,35 @@
 	if q.MaxProbe == 0 {
 		q.MaxProbe = time.Hour
 	}
+	if q.Most == 0 {
+		q.Most = 20
+	}
 }
 
-// Suspect reports whether the worker is to be set aside.
+// Suspect reports whether the worker is to be set aside. Keepers that decide
+// at the same time may exceed the limit of workers aside.
 func (q *Quarantine) Suspect(s *state.State, w *state.Worker) bool {
 	q.defaults()
+	return len(w.Failures) > 0 && q.faulty(s, w) && q.room(s)
+}
+
+// room reports whether one more worker may be set aside.
+func (q *Quarantine) room(s *state.State) bool {
+	workers, aside := 0, 0
+	for _, w := range s.Workers {
+		if w.Gone {
+			continue
+		}
+		workers++
+		if w.Condition == record.ConditionAside {
+			aside++
+		}
+	}
+	return (aside+1)*q.Most <= max(q.Most, workers)
+}
+
+// faulty reports whether the worker rather than its jobs is at fault.
+func (q *Quarantine) faulty(s *state.State, w *state.Worker) bool {
 	var jobs, accounts []string
 	better := true // all of the jobs succeeded elsewhere
 	for _, f := range w.Failures {
--- a/worker/quarantine_test.go
+++ b/worker/quarantine_test.go
@@ -72,3 +72,27 @@
 		is.New(t).Equal(q.Due(&state.State{Now: 5 + tt.after}, w), tt.want)
 	}
 }
+
+// TestSuspectLimit guards against a fault of several workers at a time that
+// takes more than one worker in twenty out of service.
+func TestSuspectLimit(t *testing.T) {
+	const now = 100_000_000
+	for _, tt := range []struct {
+		workers, aside int
+		want           bool
+	}{{2, 0, true}, {39, 1, false}, {40, 1, true}, {40, 2, false}} {
+		s := &state.State{Now: now, Jobs: map[string]*state.Job{}}
+		for i := range tt.workers {
+			w := &state.Worker{Index: uint32(i), Done: 9}
+			if i > 0 && i <= tt.aside {
+				w.Condition = record.ConditionAside
+			}
+			s.Workers = append(s.Workers, w)
+		}
+		w := s.Workers[0]
+		w.Done, w.Failed = 0, 3
+		w.Failures = []state.Failure{{Job: "a", Account: "asha", At: now}, {Job: "b", Account: "asha", At: now}, {Job: "c", Account: "binu", At: now}}
+		var q Quarantine
+		is.New(t).Equal(q.Suspect(s, w), tt.want) // of so many workers, with so many aside
+	}
+}
