--- a/caller/apijob.go
+++ b/caller/apijob.go
@@ -50,6 +50,9 @@
 		a.refuse(w, http.StatusBadRequest, route.ReasonField, "job", 0)
 		return
 	}
+	if b.Once && a.refuseOnce(w, b.Job) {
+		return
+	}
 	ctx, cancel, ok := a.jobContext(w, r)
 	if !ok {
 		return
@@ -62,6 +65,31 @@
 	a.jobReply(w, b.Job, http.StatusAccepted, ans)
 }
 
+// onceAge is how old the id of a non-repeatable job may be: less than ended jobs
+// are kept, by twice the difference that the fold allows between clocks.
+const onceAge = state.JobRetention - 2*state.MaxBatchAge // milliseconds
+
+// refuseOnce answers a non-repeatable job whose id does not start with its
+// creation time, or is so old that an earlier run of it may be forgotten.
+func (a *API) refuseOnce(w http.ResponseWriter, id string) bool {
+	at, ok := state.RequestTime(id)
+	if !ok {
+		a.refuse(w, http.StatusBadRequest, route.ReasonField, "job: a non-repeatable job's id starts with its creation time, as in 1796361383123-9f2c", 0)
+		return true
+	}
+	age := time.Now().UnixMilli() - at
+	if age < -state.MaxBatchAge {
+		a.refuse(w, http.StatusBadRequest, route.ReasonField, "job: its creation time lies ahead", 0)
+		return true
+	}
+	if age < onceAge {
+		return false
+	}
+	a.count(route.ReasonExpired)
+	reply(w, http.StatusConflict, 0, &Reply{Request: id, Fate: record.FateUnknown, Reason: string(route.ReasonExpired), Detail: "an earlier run of the id may be forgotten"})
+	return true
+}
+
 func (a *API) cancel(w http.ResponseWriter, r *http.Request, account string) {
 	ctx, cancel, ok := a.jobContext(w, r)
 	if !ok {
--- a/cli/call.go
+++ b/cli/call.go
@@ -17,7 +17,7 @@
 	f.StringVar(&b.Shape, "shape", "1x1@worker", "members, accelerators each and the unit that holds them all, for example 4x2@rack")
 	f.StringVar(&b.Kind, "kind", "job", "kind of job; run times are learned for each kind")
 	f.BoolVar(&b.Urgent, "urgent", false, "place it before others")
-	f.BoolVar(&b.Once, "once", false, "not repeatable: start it at most once")
+	f.BoolVar(&b.Once, "once", false, "not repeatable: start it at most once; the id then starts with its creation time, as in 1796361383123-9f2c")
 	f.BoolVar(&b.Checkpoint, "checkpoint", false, "it can resume from a checkpoint")
 	f.StringVar(&b.Input, "input", "", "passed on to the workers, at most 4096 bytes")
 	expect := f.Duration("expect", 0, "expected run time, a guess")
