--- a/cli/call.go
+++ b/cli/call.go
@@ -57,7 +57,7 @@
 			if err := t.showReply(f, r); err != nil {
 				return err
 			}
-			return &exitError{ExitUnknown, &WaitError{job, timeout}}
+			return withExit(&WaitError{job, timeout}, ExitUnknown)
 		}
 	}
 }
@@ -125,9 +125,9 @@
 	}
 	switch r.Fate {
 	case record.FateNotRun:
-		return &exitError{ExitRefused, &FateError{r.Fate, r.Reason, r.Detail}}
+		return withExit(&FateError{r.Fate, r.Reason, r.Detail}, ExitRefused)
 	case record.FateUnknown:
-		return &exitError{ExitUnknown, &FateError{r.Fate, r.Reason, r.Detail}}
+		return withExit(&FateError{r.Fate, r.Reason, r.Detail}, ExitUnknown)
 	}
 	return nil
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Exit codes that scripts can rely on.
@@ -54,14 +56,13 @@
 // Error describes what is wrong with the arguments.
 func (e *UsageError) Error() string { return e.Reason }
 
-// exitError carries the exit code that a failure stands for.
-type exitError struct {
-	code int
-	err  error
-}
+// exitKey is under what an error carries its exit code.
+type exitKey struct{}
 
-func (e *exitError) Error() string { return e.err.Error() }
-func (e *exitError) Unwrap() error { return e.err }
+// withExit attaches the exit code that a failure stands for.
+func withExit(err error, code int) error {
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(exitKey{}, code))
+}
 
 // Main runs the subcommand that the arguments name and returns the exit code.
 func (t *Tool) Main(ctx context.Context, args []string) int {
@@ -83,16 +84,16 @@
 
 func (t *Tool) exit(err error) int {
 	var usage *UsageError
-	var exit *exitError
+	code, coded := merry.Value(err, exitKey{}).(int)
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return ExitOK
 	case errors.As(err, &usage):
 		fmt.Fprintf(t.Err, "lane: %s\n", usage.Reason)
 		return ExitUsage
-	case errors.As(err, &exit):
+	case coded:
 		fmt.Fprintf(t.Err, "lane: %v\n", err)
-		return exit.code
+		return code
 	default:
 		fmt.Fprintf(t.Err, "lane: %v\n", err)
 		return ExitFailed
--- a/cli/client.go
+++ b/cli/client.go
@@ -33,15 +33,15 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &refusal) && refusal.Fate == record.FateUnknown:
-		return &exitError{ExitUnknown, err}
+		return withExit(err, ExitUnknown)
 	case errors.As(err, &refusal):
-		return &exitError{ExitRefused, err}
+		return withExit(err, ExitRefused)
 	case errors.As(err, &unreachable) && (reading || unreachable.NotSent()):
-		return &exitError{ExitUnreachable, err}
+		return withExit(err, ExitUnreachable)
 	case errors.As(err, &unreachable):
-		return &exitError{ExitUnknown, err}
+		return withExit(err, ExitUnknown)
 	default:
-		return &exitError{ExitFailed, err}
+		return withExit(err, ExitFailed)
 	}
 }
 
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -28,19 +28,19 @@
 	path := f.args[0]
 	if strings.HasSuffix(path, ".ini") {
 		if _, err := settings.Read(path); err != nil {
-			return &exitError{ExitInvalid, err}
+			return withExit(err, ExitInvalid)
 		}
 		return t.showOK(f, path)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return &exitError{ExitInvalid, err}
+		return withExit(err, ExitInvalid)
 	}
 	if *name == "" {
 		return &UsageError{"check of a configuration record wants -name FAMILY/NAME"}
 	}
 	if err := state.CheckConfig(*name, data); err != nil {
-		return &exitError{ExitInvalid, err}
+		return withExit(err, ExitInvalid)
 	}
 	if *online {
 		query := url.Values{"check": {"true"}, "reader": {fmt.Sprint(*reader)}}
@@ -73,7 +73,7 @@
 	}
 	data, err := os.ReadFile(f.args[0])
 	if err != nil {
-		return &exitError{ExitInvalid, err}
+		return withExit(err, ExitInvalid)
 	}
 	query := url.Values{"base": {strconv.FormatUint(*base, 10)}, "schema": {fmt.Sprint(*schema)}, "reader": {fmt.Sprint(*reader)}}
 	return t.publish(f, http.MethodPut, *name, query, data)
--- a/cli/play.go
+++ b/cli/play.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if failed != nil {
-		return &exitError{ExitExpectation, failed}
+		return withExit(failed, ExitExpectation)
 	}
 	fmt.Fprintln(t.Out, "all fates as stated")
 	return nil
@@ -92,7 +92,7 @@
 		}
 	}
 	if failed != nil {
-		return &exitError{ExitExpectation, failed}
+		return withExit(failed, ExitExpectation)
 	}
 	return nil
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
@@ -206,6 +207,7 @@
 			err := a.run(ctx)
 			if err != nil && !errors.Is(err, context.Canceled) {
 				n.Logger.Info("actor ended", zap.String("actor", a.name), zap.Error(err))
+				err = merry.Prepend(err, a.name)
 			}
 			return err
 		}, func(error) { cancel() })
