Let only the first ranks decide

Cause: every instance ran the scheduler at each change, although all but the first wait for its result; at the target size 96 instances would each spend the time of a round that reaches 8.5 ms with 5,000 waiting jobs.

Ruled out: only the first rank, because urgent work would wait for its eviction.

Change: ranks 0 to 3 decide, after their delays; the others look again at the next round.

Measured: entry tests pass; a fifth rank proposes nothing.

--- a/entry/decider.go
+++ b/entry/decider.go
@@ -15,6 +15,10 @@
 	"jasminelane.example/lane/state"
 )
 
+// deciders is how many ranks beyond the first decide. When all of them fail at
+// once, the members that follow move up with their eviction.
+const deciders = 3
+
 // Decider runs the scheduler over the replica's state and proposes what it
 // decides. The instance that ranks first for the round acts at once; the
 // others act when the same work has been due for their rank's delay.
@@ -76,7 +80,7 @@
 // step runs one round and returns how long to wait without a change.
 func (d *Decider) step(ctx context.Context) time.Duration {
 	rank := d.Rank("schedule")
-	if rank < 0 || !d.Fresh() {
+	if rank < 0 || rank > deciders || !d.Fresh() {
 		return d.Round
 	}
 	recs := d.decide()
--- a/entry/decider_test.go
+++ b/entry/decider_test.go
@@ -132,7 +132,7 @@
 		name  string
 		rank  int
 		fresh bool
-	}{{"no member", -1, true}, {"not current", 0, false}} {
+	}{{"no member", -1, true}, {"ranks too far behind", deciders + 1, true}, {"not current", 0, false}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := newRound(t)
--- a/measure/target.go
+++ b/measure/target.go
@@ -121,8 +121,8 @@
 	const pings = 10 // an instance watches five others and is watched by five, each once a second
 	lines = append(lines, Line{"pings", pings, pings * ping.Bytes, pings * ping.Micros})
 	decide := r.Samples[len(r.Samples)-1].DecideMicros
-	// Three ranks decide at each change; an instance is among them with 3/n.
-	rounds := appends * min(1, 3/float64(n))
+	// Four ranks decide at each change; an instance is among them with 4/n.
+	rounds := appends * min(1, 4/float64(n))
 	lines = append(lines, Line{"scheduling rounds", rounds, 0, rounds * decide})
 	return lines
 }
