Remove lost racks and take over quarantined workers

Cause: a rack whose workers are lost could not be removed while a broken block had no other place (busy), and an operator could not set aside a worker that was already quarantined (phase), so it was probed again.

Ruled out: moving the block elsewhere first, since there may be no place.

Change: only tasks and whole blocks keep a worker in the configuration; an operator may take over a quarantine.

Before: remove refused with busy, aside with phase.

--- a/state/check.go
+++ b/state/check.go
@@ -89,7 +89,7 @@
 	if reserved != w.reserved {
 		return &InvariantError{"reserved mask matches blocks", w.Name}
 	}
-	if w.Gone && (len(w.Tasks) > 0 || len(w.Blocks) > 0) {
+	if w.Gone && w.inUse() {
 		return &InvariantError{"removed workers carry nothing", w.Name}
 	}
 	return nil
--- a/state/config.go
+++ b/state/config.go
@@ -387,7 +387,7 @@
 	}
 	if rack != nil {
 		for _, w := range rack.Workers {
-			if !keep[w.Name] && !w.Gone && (len(w.Tasks) > 0 || len(w.Blocks) > 0) {
+			if !keep[w.Name] && !w.Gone && w.inUse() {
 				return ReasonBusy, "worker " + w.Name + " has tasks or blocks; set it aside first"
 			}
 		}
--- a/state/worker.go
+++ b/state/worker.go
@@ -30,6 +30,13 @@
 // Ready reports whether new work may be placed on the worker.
 func (w *Worker) Ready() bool { return !w.Gone && w.Condition == record.ConditionReady }
 
+// inUse reports whether the worker holds a task or part of a block that is not
+// broken. A broken block does not keep a worker in the configuration: when no
+// other place is free, its lost rack could otherwise never be removed.
+func (w *Worker) inUse() bool {
+	return len(w.Tasks) > 0 || slices.ContainsFunc(w.Blocks, func(b *Block) bool { return !b.Broken })
+}
+
 // All returns the mask of all of the worker's accelerators.
 func (w *Worker) All() shape.Mask { return shape.FirstN(w.GPUs) }
 
@@ -104,7 +111,10 @@
 	default:
 		return ReasonField, "cond"
 	}
-	if h.Condition == w.Condition {
+	// An operator may take over a worker that was set aside for failures, which
+	// would otherwise be probed and returned.
+	takeover := h.Condition == record.ConditionAside && w.Cause == CauseFailures && h.Cause != CauseFailures
+	if h.Condition == w.Condition && !takeover {
 		return ReasonPhase, w.Name
 	}
 	if h.Revision == s.token() {
