Use the field's terms for timeouts and buckets

Cause: names such as patience, blame and shelf have to be explained to a reader.

Change: Table.AttemptTimeout, State.failedOn, rackBuckets, spareTimeout, and plain wording in comments. No behaviour changes.

--- a/caller/router.go
+++ b/caller/router.go
@@ -179,7 +179,7 @@
 	w.tries++
 	w.running++
 	w.exclude = append(w.exclude, s.Addr)
-	w.wait = time.Duration(w.r.Table.Patience(s, w.q.Class)) * time.Millisecond
+	w.wait = time.Duration(w.r.Table.AttemptTimeout(s, w.q.Class)) * time.Millisecond
 	if w.r.Table.Usual(w.q.Service, w.q.Class) == 0 {
 		w.wait = min(w.wait, firstWait) // the first server that an instance tries may be a stalled one
 	}
@@ -249,9 +249,9 @@
 		r.Table.Done(s, now(), res)
 		r.pump()
 	}()
-	patience := time.Duration(r.Table.Patience(s, q.Class)) * time.Millisecond
+	timeout := time.Duration(r.Table.AttemptTimeout(s, q.Class)) * time.Millisecond
 	if !r.Table.Fresh(s, now()) {
-		if err := r.check(ctx, s, patience, &res); err != nil {
+		if err := r.check(ctx, s, timeout, &res); err != nil {
 			return nil, err, false
 		}
 	}
@@ -265,7 +265,7 @@
 	took := time.Since(begin)
 	if err != nil {
 		fail := failure(err)
-		res = result(fail, took >= patience)
+		res = result(fail, took >= timeout)
 		return nil, fail, fail.Reason != route.ReasonConnect && fail.Reason != route.ReasonConnections
 	}
 	res = told(a.Notice)
@@ -274,12 +274,12 @@
 }
 
 // check probes the server; an error says why it gets no work.
-func (r *Router) check(ctx context.Context, s *route.Server, patience time.Duration, res *route.Result) *backend.Error {
+func (r *Router) check(ctx context.Context, s *route.Server, timeout time.Duration, res *route.Result) *backend.Error {
 	wait := r.ProbeWait
 	if wait == 0 {
 		wait = 250 * time.Millisecond
 	}
-	pctx, cancel := context.WithTimeout(ctx, min(wait, patience))
+	pctx, cancel := context.WithTimeout(ctx, min(wait, timeout))
 	defer cancel()
 	n, err := r.Probe(pctx, s.Addr)
 	if err != nil {
--- a/caller/slow_test.go
+++ b/caller/slow_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// A service that takes longer than the least patience must work from its first
+// A service that takes longer than the least timeout must work from its first
 // request on: an attempt that is only slow must not be ended.
 func TestSlowService(t *testing.T) {
 	is := is.New(t)
--- a/member/liveness.go
+++ b/member/liveness.go
@@ -128,7 +128,7 @@
 	l.mu.Lock()
 	if !l.ticked.IsZero() && now.Sub(l.ticked) > 3*(l.Interval+l.PingTimeout) {
 		// This process was paused: what failed before says nothing now, and
-		// the others have not failed just because nobody pinged them.
+		// the others have not failed just because they were not pinged.
 		for _, c := range l.contacts {
 			c.failures = 0
 		}
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -58,7 +58,7 @@
 		{"small", "1x1@worker", false, Policy{}, 0, false},
 		{"small and urgent", "1x1@worker", true, Policy{}, 0, true},
 		{"half of the guaranteed shape", "2x2@rack", false, Policy{}, 0, true},
-		{"small, waited for its patience", "1x1@worker", false, Policy{Completion: 1e6}, 5_000, true},
+		{"small, waited for the timeout", "1x1@worker", false, Policy{Completion: 1e6}, 5_000, true},
 		{"small, fragmentation weighs more", "1x1@worker", false, Policy{Fragmentation: 1e6}, 5_000, false},
 	}
 	for _, tt := range tests {
--- a/placement/search.go
+++ b/placement/search.go
@@ -64,8 +64,8 @@
 			break
 		}
 		inBucket := 0
-		for d := range t.shelves {
-			done := !t.shelves[d].each(x.state.Domains[d], n, func(r *state.Rack) bool {
+		for d := range t.byDomain {
+			done := !t.byDomain[d].each(x.state.Domains[d], n, func(r *state.Rack) bool {
 				x.offer(j, tier, sp, r)
 				slots := fill(sh, x.scratch.offers)
 				if slots == nil {
@@ -103,8 +103,8 @@
 // next returns the smallest count from n on that some rack has, or -1.
 func (t *table) next(n int) int {
 	best := -1
-	for d := range t.shelves {
-		if m := t.shelves[d].next(n); m >= 0 && (best < 0 || m < best) {
+	for d := range t.byDomain {
+		if m := t.byDomain[d].next(n); m >= 0 && (best < 0 || m < best) {
 			best = m
 		}
 	}
@@ -170,8 +170,8 @@
 	sh := j.Spec.Shape
 	var all []offer
 	room := 0
-	for n := t.shelves[d].next(1); n >= 0 && room < sh.Members; n = t.shelves[d].next(n + 1) {
-		t.shelves[d].each(x.state.Domains[d], n, func(r *state.Rack) bool {
+	for n := t.byDomain[d].next(1); n >= 0 && room < sh.Members; n = t.byDomain[d].next(n + 1) {
+		t.byDomain[d].each(x.state.Domains[d], n, func(r *state.Rack) bool {
 			x.offer(j, t.tier, sp, r)
 			for _, o := range x.scratch.offers {
 				if m := o.mask.Count() / sh.GPUs; m > 0 {
--- a/placement/spare.go
+++ b/placement/spare.go
@@ -4,10 +4,10 @@
 	"jasminelane.example/lane/state"
 )
 
-// sparePatience is how long a small job waits rather than break up the last
+// spareTimeout is how long a small job waits rather than break up the last
 // unit that fits the largest guaranteed shape, when both weights of the policy
 // are equal. After that it may, so that it does not starve.
-const sparePatience = 30 * 60_000 // milliseconds
+const spareTimeout = 30 * 60_000 // milliseconds
 
 // spared reports whether the placement outside guaranteed blocks leaves a unit
 // that fits the largest guaranteed shape, or need not. Urgent jobs and jobs of
@@ -25,7 +25,7 @@
 	if now == 0 {
 		now = x.state.Now
 	}
-	if float64(now-j.Changed) > sparePatience*fragmentation/completion {
+	if float64(now-j.Changed) > spareTimeout*fragmentation/completion {
 		return true
 	}
 	broken := x.breaks(g, c)
--- a/placement/table.go
+++ b/placement/table.go
@@ -10,16 +10,16 @@
 // table counts how many members of one size the racks and failure domains can
 // take in one tier, and sorts the racks of each domain into buckets by it.
 type table struct {
-	tier    int
-	gpus    int   // accelerators of one member
-	racks   []int // members that fit, by rack number
-	domains []int // members that fit, by domain number
-	shelves []shelf
+	tier     int
+	gpus     int   // accelerators of one member
+	racks    []int // members that fit, by rack number
+	domains  []int // members that fit, by domain number
+	byDomain []rackBuckets
 }
 
-// shelf sorts the racks of one domain by how many members fit; larger counts
+// rackBuckets sorts the racks of one domain by how many members fit; larger counts
 // than shape.MaxMembers share the last bucket.
-type shelf struct {
+type rackBuckets struct {
 	occupied [shape.MaxMembers/64 + 1]uint64 // counts that have a rack
 	buckets  [shape.MaxMembers + 1]bitset    // racks by position in the domain
 }
@@ -72,15 +72,15 @@
 	}
 	for len(t.domains) < len(x.domains) {
 		t.domains = append(t.domains, 0)
-		t.shelves = append(t.shelves, shelf{})
+		t.byDomain = append(t.byDomain, rackBuckets{})
 	}
 	r, dom := w.Rack.Index, w.Rack.Domain.Index
-	t.shelves[dom].move(x.ordinal[r], t.racks[r], t.racks[r]+d)
+	t.byDomain[dom].move(x.ordinal[r], t.racks[r], t.racks[r]+d)
 	t.racks[r] += d
 	t.domains[dom] += d
 }
 
-func (s *shelf) move(rack, from, to int) {
+func (s *rackBuckets) move(rack, from, to int) {
 	from, to = min(from, shape.MaxMembers), min(to, shape.MaxMembers)
 	if from == to {
 		return
@@ -95,7 +95,7 @@
 }
 
 // next returns the smallest count from n on that some rack has, or -1.
-func (s *shelf) next(n int) int {
+func (s *rackBuckets) next(n int) int {
 	if n > shape.MaxMembers {
 		return -1
 	}
@@ -112,7 +112,7 @@
 
 // each calls f for the racks of the domain in the bucket until f returns
 // false; it reports whether f never did.
-func (s *shelf) each(d *state.Domain, n int, f func(*state.Rack) bool) bool {
+func (s *rackBuckets) each(d *state.Domain, n int, f func(*state.Rack) bool) bool {
 	for i, w := range s.buckets[n] {
 		for ; w != 0; w &= w - 1 {
 			if !f(d.Racks[i*64+bits.TrailingZeros64(w)]) {
--- a/route/table.go
+++ b/route/table.go
@@ -66,7 +66,7 @@
 	Refused                 // the server refused: busy or leaving
 	Failed                  // no answer in time, or a damaged one
 	Gone                    // no connection, or no answer to a probe
-	Late                    // the caller's deadline passed before the server's patience did
+	Late                    // the caller's deadline passed before the attempt's timeout
 	Dropped                 // given up for reasons of the caller, or never sent; says nothing about the server
 )
 
@@ -316,9 +316,9 @@
 	*usual += 0.1 * (float64(took) - *usual)
 }
 
-// Patience returns how long a repeatable request of the class waits for the
+// AttemptTimeout returns how long a repeatable request of the class waits for the
 // server's answer before it is tried elsewhere too, in milliseconds.
-func (t *Table) Patience(s *Server, c Class) int64 {
+func (t *Table) AttemptTimeout(s *Server, c Class) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.stall(s, c)
@@ -331,13 +331,13 @@
 func (t *Table) ready(s *Server, now int64) (ok, trial bool) {
 	if s.breaker.until == 0 && s.inflight > 0 {
 		// A server full of long requests is silent for as long as they take.
-		var patience int64
+		var timeout int64
 		for c, n := range s.flight {
 			if n > 0 {
-				patience = max(patience, t.stall(s, Class(c)))
+				timeout = max(timeout, t.stall(s, Class(c)))
 			}
 		}
-		if now-s.silent > patience {
+		if now-s.silent > timeout {
 			s.breaker.trip(now, t.random)
 		}
 	}
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -165,7 +165,7 @@
 	_, err = table.Pick("badges", 9000, nil, Urgent) // may be a slow service
 	is.NoErr(err)
 	table.Done(s, 9001, Result{Verdict: Answered, Took: 20})
-	is.Equal(table.Patience(s, Urgent), int64(500))
+	is.Equal(table.AttemptTimeout(s, Urgent), int64(500))
 	_, err = table.Pick("badges", 9400, nil, Urgent)
 	is.NoErr(err)
 	_, err = table.Pick("badges", 9600, nil, Urgent)
@@ -175,7 +175,7 @@
 		s, err = table.Pick("badges", 12_000, nil, Urgent)
 		is.NoErr(err)
 	}
-	is.True(table.Patience(s, Urgent) > 15_900) // 8 times the service time
+	is.True(table.AttemptTimeout(s, Urgent) > 15_900) // 8 times the service time
 	_, err = table.Pick("badges", 27_800, nil, Urgent)
 	is.NoErr(err)
 	_, err = table.Pick("badges", 28_100, nil, Urgent)
@@ -189,7 +189,7 @@
 	table := newTable(2)
 	s, err := table.Pick("badges", 1, nil, Urgent)
 	is.NoErr(err)
-	is.Equal(table.Patience(s, Urgent), int64(10_000))
+	is.Equal(table.AttemptTimeout(s, Urgent), int64(10_000))
 	table.Done(s, 2, Result{Verdict: Gone})
 	for range 8 {
 		o, err := table.Pick("badges", 3, nil, Urgent)
@@ -197,7 +197,7 @@
 		is.True(o != s)
 		table.Done(o, 4, Result{Verdict: Answered, Took: 100})
 	}
-	is.Equal(table.Patience(s, Urgent), int64(800))
+	is.Equal(table.AttemptTimeout(s, Urgent), int64(800))
 	is.Equal(table.Usual("badges", Urgent), int64(100))
 }
 
--- a/state/job.go
+++ b/state/job.go
@@ -300,7 +300,7 @@
 	}
 	j.Pending = 0
 	j.Slots = nil
-	if j.Failures >= MaxAttempts || s.blame(j) >= MaxFailures {
+	if j.Failures >= MaxAttempts || s.failedOn(j) >= MaxFailures {
 		s.endJob(j, JobFailed, "poison: "+j.Cause)
 		return
 	}
@@ -308,10 +308,10 @@
 	s.touch(j)
 }
 
-// blame returns on how many different workers the job failed that do not fail
+// failedOn returns on how many different workers the job failed that do not fail
 // the jobs of other accounts too: several faulty workers must not end a job
 // that is sound.
-func (s *State) blame(j *Job) int {
+func (s *State) failedOn(j *Job) int {
 	n := 0
 	for i, index := range j.FailedOn {
 		if !slices.Contains(j.FailedOn[:i], index) && !s.Workers[index].faulty() {
--- a/state/state.go
+++ b/state/state.go
@@ -39,7 +39,7 @@
 	Refused  map[Reason]uint64 // refused records by reason
 
 	// Touched is called after each change to a worker's accelerators, condition or
-	// size; nil means nobody listens. It must not change the state.
+	// size; nil means no listener. It must not change the state.
 	Touched func(*Worker)
 
 	// Moved is called after each submission of a job and each change of its phase,
--- a/trace/request.go
+++ b/trace/request.go
@@ -254,12 +254,12 @@
 	c.tries++
 	c.running++
 	c.exclude = append(c.exclude, s.Addr)
-	patience := in.table.Patience(s, c.class())
+	timeout := in.table.AttemptTimeout(s, c.class())
 	if !c.Once {
-		v.hedge(c, patience)
+		v.hedge(c, timeout)
 	}
 	if in.table.Fresh(s, v.r.now()) {
-		v.deliver(c, s, patience)
+		v.deliver(c, s, timeout)
 		return
 	}
 	v.r.clock.after(2*hopDelay, func() {
@@ -275,11 +275,11 @@
 			return
 		}
 		in.table.Heard(s, v.r.now(), route.Result{Loaded: true, Busy: b.load()})
-		v.deliver(c, s, patience)
+		v.deliver(c, s, timeout)
 	})
 }
 
-func (v *service) deliver(c *call, s *route.Server, patience int64) {
+func (v *service) deliver(c *call, s *route.Server, timeout int64) {
 	in, b, began := c.instance, v.servers[s.Addr], v.r.clock.now
 	settled := false // the table has heard of this attempt
 	// When another server answers first, the attempt is given up.
@@ -289,7 +289,7 @@
 		}
 		settled = true
 		res := route.Result{Verdict: route.Dropped, Class: c.class()}
-		if v.r.clock.now-began >= patience {
+		if v.r.clock.now-began >= timeout {
 			res.Verdict = route.Failed
 		}
 		in.table.Done(s, v.r.now(), res)
@@ -330,12 +330,12 @@
 
 // hedge sends a call that waits longer than usual to a second server too, if
 // one is free and the retry budget allows it.
-func (v *service) hedge(c *call, patience int64) {
+func (v *service) hedge(c *call, timeout int64) {
 	in, try := c.instance, c.tries
 	if in.table.Usual(c.Service, c.class()) == 0 {
-		patience = min(patience, firstWait)
+		timeout = min(timeout, firstWait)
 	}
-	v.r.clock.after(patience, func() {
+	v.r.clock.after(timeout, func() {
 		if in.gone || c.answered || c.tries != try || c.running == 0 || c.tries >= maxAttempts || v.r.clock.now >= c.due() {
 			return
 		}
@@ -345,7 +345,7 @@
 			err = errBudget
 		}
 		if err != nil {
-			v.hedge(c, patience)
+			v.hedge(c, timeout)
 			return
 		}
 		v.send(c, s)
--- a/worker/keeper.go
+++ b/worker/keeper.go
@@ -40,7 +40,7 @@
 	Rank    func(subject string) int // 0 is first; below 0: not a member
 	Fresh   func() bool              // whether the view may be acted on; nil means always
 	Sync    func(ctx context.Context, addr string, q SyncRequest) (SyncAnswer, error)
-	Count   func(event string) // counts events such as "sync.stale"; nil means nobody counts
+	Count   func(event string) // counts events such as "sync.stale"; nil counts nothing
 
 	Lease     time.Duration // default DefaultLease
 	RankDelay time.Duration // default DefaultRankDelay
--- a/worker/starter.go
+++ b/worker/starter.go
@@ -50,7 +50,7 @@
 	RankDelay time.Duration      // default DefaultRankDelay
 	Retry     time.Duration      // between two rounds of syncs, default 50 ms
 	Parallel  int                // syncs in flight, default DefaultParallel
-	Count     func(event string) // counts events such as "abort.refused"; nil means nobody counts
+	Count     func(event string) // counts events such as "abort.refused"; nil counts nothing
 	Logger    *zap.Logger        // default none
 
 	mu    sync.Mutex
@@ -115,7 +115,7 @@
 	t.slots = make(chan struct{}, t.Parallel)
 }
 
-// scan returns the gangs that nobody here drives yet, and forgets those that
+// scan returns the gangs that are not driven here yet, and forgets those that
 // have ended.
 func (t *Starter) scan() []gang {
 	var out []gang
@@ -145,7 +145,7 @@
 	rank := t.Rank(g.job)
 	delay, retry := time.Duration(max(rank, 0))*t.RankDelay, t.Retry
 	if rank < 0 {
-		delay = t.HoldTime // not a member: only when nobody else does it
+		delay = t.HoldTime // not a member: only when no member does it
 	}
 	if rank > backups {
 		delay += t.HoldTime // enough are ahead; do not add to their syncs
