Show the platform's log with the fold's decisions

Cause: from a desk, an operator could see that a record was refused only in the counters of an instance, not which record, when and by whom.

Ruled out: a log line for each record in every instance, which 96 instances would write.

Two functions of the stand-ins that waited alike are one.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -182,6 +182,7 @@
 		{"watch", "ID", "wait until a job has ended and print its fate", "lane watch -timeout 1m sheet-7", runWatch},
 		{"cancel", "ID", "cancel a job as a caller", "lane cancel sheet-7", runCancel},
 		{"request", "SERVICE BODY", "send a request to a service", "lane request -once badges 'print sheet 7'", runRequest},
+		{"log", "", "read the platform's log: records, what the fold decides on each, snapshots", "lane log -from 120 -limit 50 -kind place", runLog},
 		{"replay", "TRACE...", "replay recorded traces through the product and the naive baseline", "lane replay trace/testdata/*.trace", runReplay},
 		{"measure", "", "measure slopes at three sizes and work out the cost at the target size", "lane measure", runMeasure},
 		{"demo", "[FILE...]", "run stand-ins and three instances in this process and play an input through", "lane demo", runDemo},
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -453,17 +453,3 @@
 		len(body), len(body), xxhash.Sum64(body))
 	return append(out, body...)
 }
-
-func sleep(d time.Duration, done <-chan struct{}) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-done:
-		return false
-	}
-}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -52,7 +52,11 @@
 
 // pause waits for the duration or until the client has gone; it reports
 // whether the client is still there.
-func pause(r *http.Request, d time.Duration) bool {
+func pause(r *http.Request, d time.Duration) bool { return sleep(d, r.Context().Done()) }
+
+// sleep waits for the duration or until done is closed; it reports whether the
+// duration has passed.
+func sleep(d time.Duration, done <-chan struct{}) bool {
 	if d <= 0 {
 		return true
 	}
@@ -61,7 +65,7 @@
 	select {
 	case <-t.C:
 		return true
-	case <-r.Context().Done():
+	case <-done:
 		return false
 	}
 }
