Serve over TLS with keys that are read again when they change

Cause: tokens of callers and operators went over plain connections, and any process that reached an instance's peer address could ask it.

Ruled out: certificates for callers, who have tokens; a restart for each new certificate, because instances are replaced often enough as it is.

Change: package keys; a tls section in the settings; TLS on all listeners, mutual between instances and, if set, for operators; lane -ca, -cert, -key; standin.Authority for tests. Without the section nothing changes.

--- a/cli/client.go
+++ b/cli/client.go
@@ -8,14 +8,38 @@
 	"net/http"
 	"net/url"
 	"text/tabwriter"
+	"time"
 
 	"jasminelane.example/lane/client"
 	"jasminelane.example/lane/operator"
 	"jasminelane.example/lane/record"
 )
 
-func (f *flags) operators() *client.Client { return &client.Client{Base: f.operator, Token: f.token} }
-func (f *flags) callers() *client.Client   { return &client.Client{Base: f.caller, Token: f.token} }
+func (f *flags) operators() *client.Client {
+	return &client.Client{Base: f.operator, Token: f.token, HTTP: f.http()}
+}
+
+func (f *flags) callers() *client.Client {
+	return &client.Client{Base: f.caller, Token: f.token, HTTP: f.http()}
+}
+
+// http returns a client with the flags' certificates, or nil for the default.
+func (f *flags) http() *http.Client {
+	if f.keys.CA == "" && f.keys.Cert == "" {
+		return nil
+	}
+	config, err := f.keys.Client()
+	if err != nil {
+		return &http.Client{Transport: failing{err}}
+	}
+	return &http.Client{Timeout: time.Minute, Transport: &http.Transport{TLSClientConfig: config}}
+}
+
+// failing answers every request with the error.
+type failing struct{ err error }
+
+// RoundTrip fails.
+func (f failing) RoundTrip(*http.Request) (*http.Response, error) { return nil, f.err }
 
 // operate calls the operators' API and gives its failures their exit codes.
 func operate[T any](f *flags, method, path string, query url.Values, body []byte) (T, error) {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -16,6 +16,7 @@
 
 	"jasminelane.example/lane/backend"
 	"jasminelane.example/lane/caller"
+	"jasminelane.example/lane/keys"
 	"jasminelane.example/lane/member"
 	"jasminelane.example/lane/metric"
 	"jasminelane.example/lane/operator"
@@ -51,6 +52,7 @@
 	liveness *member.Liveness
 	listing  *listing
 	peers    *peer.Client
+	keys     *keys.Keys // nil without TLS
 	members  atomic.Pointer[[]*state.Member]
 	ids      atomic.Uint64
 	draining atomic.Bool
@@ -71,7 +73,7 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // Open listens on the instance's addresses and wires its parts; it fails with
-// *ListenError.
+// *ListenError or *keys.FileError.
 func (n *Instance) Open() error {
 	if n.Logger == nil {
 		n.Logger = zap.NewNop()
@@ -90,6 +92,10 @@
 		}
 	}
 	n.drain = make(chan struct{})
+	if err := n.secure(); err != nil {
+		n.close()
+		return err
+	}
 	n.wire()
 	return nil
 }
@@ -136,6 +142,9 @@
 		Send: servers.Do, Probe: servers.Probe, Trim: servers.Trim, Count: n.countRequest, Logger: n.Logger,
 	}
 	n.peers = &peer.Client{}
+	if n.keys != nil {
+		n.peers.Dial = n.dialPeer
+	}
 	list := &platform.Directory{URL: set.Platform.List}
 	n.listing = &listing{list: list.List, set: n.table.SetListed, logger: n.Logger}
 	n.liveness = &member.Liveness{
--- /dev/null
+++ b/entry/secure.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"jasminelane.example/lane/keys"
+)
+
+// secure puts TLS on all listeners when the settings name a certificate.
+// Instances always prove themselves to each other; operators do so when the
+// settings say it, callers by their tokens only.
+func (n *Instance) secure() error {
+	set := n.Settings.TLS
+	if set.Cert == "" {
+		return nil
+	}
+	n.keys = &keys.Keys{Cert: set.Cert, Key: set.Key, CA: set.CA}
+	if err := n.keys.Load(); err != nil {
+		return err
+	}
+	n.Peers = tls.NewListener(n.Peers, n.keys.Server(true))
+	n.Callers = tls.NewListener(n.Callers, n.keys.Server(false))
+	n.Operators = tls.NewListener(n.Operators, n.keys.Server(set.Operators))
+	return nil
+}
+
+func (n *Instance) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	config, err := n.keys.Client()
+	if err != nil {
+		return nil, err
+	}
+	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/entry/secure_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/client"
+	"jasminelane.example/lane/keys"
+	"jasminelane.example/lane/settings"
+	"jasminelane.example/lane/standin"
+)
+
+// TestTLS guards against listeners that stay plain, operators without a
+// certificate, and instances that cannot reach each other over TLS: a publish
+// is in force on both only if they can.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	log := httptest.NewServer(&standin.Log{})
+	defer log.Close()
+	list := httptest.NewServer(&standin.Directory{})
+	defer list.Close()
+	a := &standin.Authority{Dir: t.TempDir()}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var all []*Instance
+	for _, name := range []string{"e1", "e2"} {
+		f, err := a.Issue(name)
+		is.NoErr(err)
+		set := settings.Default()
+		set.Instance = settings.Instance{Name: name, Domain: "kochi", Peers: "127.0.0.1:0", Callers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+		set.Platform = settings.Platform{Log: log.URL, List: list.URL}
+		set.TLS = settings.TLS{Cert: f.Cert, Key: f.Key, CA: f.CA, Operators: true}
+		set.Operators = []settings.Token{{Name: "desk", Secret: "token-of-the-desk"}}
+		n := &Instance{Settings: set}
+		is.NoErr(n.Open())
+		all = append(all, n)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = n.Run(ctx)
+		}()
+		defer func() { cancel(); <-done }()
+	}
+	for end := time.Now().Add(10 * time.Second); all[0].Ready() != nil || all[1].Ready() != nil; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // both instances are ready
+	}
+	f, err := a.Issue("desk")
+	is.NoErr(err)
+	operator := func(k *keys.Keys) *client.Client {
+		config, err := k.Client()
+		is.NoErr(err)
+		return &client.Client{
+			Base: "https://" + all[0].Operators.Addr().String(), Token: "token-of-the-desk",
+			HTTP: &http.Client{Transport: &http.Transport{TLSClientConfig: config}},
+		}
+	}
+	out, err := operator(&keys.Keys{Cert: f.Cert, Key: f.Key, CA: f.CA}).Publish(t.Context(), "account/asha", 0, 1, 1, []byte(`{}`))
+	is.NoErr(err)
+	is.Equal(len(out.Force), 2)
+	is.True(out.Force[0].OK && out.Force[1].OK)
+	_, err = operator(&keys.Keys{CA: f.CA}).Publish(t.Context(), "account/ben", 0, 1, 1, []byte(`{}`))
+	is.True(err != nil) // no certificate
+	resp, err := http.Get("http://" + all[0].Callers.Addr().String() + "/v1/jobs/x")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusBadRequest) // plain HTTP on a TLS listener
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -157,7 +158,7 @@
 		}
 	}
 	if len(keys) == 0 {
-		return "sections instance, platform, limits, times, policy, account.NAME, operator.NAME"
+		return "sections instance, platform, limits, times, policy, tls, account.NAME, operator.NAME"
 	}
 	return strings.Join(keys, ", ")
 }
@@ -173,6 +174,12 @@
 		}
 		addrs[a.addr] = a.key
 	}
+	if given := s.TLS.Cert != ""; given != (s.TLS.Key != "") || given != (s.TLS.CA != "") {
+		p.fail("tls", "cert", s.TLS.Cert, "cert, key and ca together, or none of them")
+	}
+	if s.TLS.Operators && s.TLS.CA == "" {
+		p.fail("tls", "operators", "true", "cert, key and ca for it")
+	}
 	if len(s.Operators) == 0 {
 		p.fail("operator.NAME", "token", "", "at least one operator")
 	}
@@ -202,6 +209,10 @@
 		period("times", "retention", &s.Times.Retention, time.Minute, 30*24*time.Hour),
 		weight("policy", "completion", &s.Policy.Completion),
 		weight("policy", "fragmentation", &s.Policy.Fragmentation),
+		file("tls", "cert", &s.TLS.Cert),
+		file("tls", "key", &s.TLS.Key),
+		file("tls", "ca", &s.TLS.CA),
+		boolean("tls", "operators", &s.TLS.Operators),
 	}
 }
 
@@ -235,6 +246,18 @@
 	}}
 }
 
+func file(section, key string, to *string) row {
+	return row{section: section, key: key, allowed: "the path of a file that can be read", set: func(v string) bool {
+		*to = v
+		f, err := os.Open(v)
+		if err != nil {
+			return false
+		}
+		_ = f.Close()
+		return true
+	}}
+}
+
 func boolean(section, key string, to *bool) row {
 	return row{section: section, key: key, allowed: "true or false", set: func(v string) bool {
 		*to = v == "true"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 	Limits    Limits
 	Times     Times
 	Policy    Policy
+	TLS       TLS
 	Accounts  []Token // who may call, by client account
 	Operators []Token // who may operate, by operator
 }
@@ -58,6 +59,16 @@
 	Fragmentation float64
 }
 
+// TLS names PEM files; without a certificate all listeners are plain.
+type TLS struct {
+	Cert string // with the IP numbers of the instance
+	Key  string
+	CA   string // that signs the instances' certificates, and those of operators
+	// Operators makes operators prove themselves by a certificate of CA, besides
+	// their token.
+	Operators bool
+}
+
 // Token is a bearer token and the name it stands for.
 type Token struct {
 	Name   string
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -96,3 +96,31 @@
 		}
 	})
 }
+
+// Guards against TLS settings of which a part is missing, which would leave a
+// listener plain.
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	pem := filepath.Join(dir, "x.pem")
+	is.New(t).NoErr(os.WriteFile(pem, nil, 0o600))
+	for _, tt := range []struct {
+		text string
+		want int // errors
+	}{
+		{"cert = " + pem + "\nkey = " + pem + "\nca = " + pem + "\noperators = true\n", 0},
+		{"cert = " + pem + "\nkey = " + pem + "\n", 1},
+		{"key = " + pem + "\n", 1},
+		{"operators = true\n", 1},
+		{"cert = " + filepath.Join(dir, "none") + "\nkey = " + pem + "\nca = " + pem + "\n", 1},
+	} {
+		is := is.New(t)
+		_, err := Parse("test.ini", []byte(minimal+"[tls]\n"+tt.text))
+		var ce *CheckError
+		if errors.As(err, &ce) {
+			is.Equal(len(ce.Keys), tt.want)
+			continue
+		}
+		is.NoErr(err)
+		is.Equal(tt.want, 0)
+	}
+}
