Limit the connections of the operators' listener

Cause: the settings limit connections for each listener, and the operators' had no limit.

Ruled out: refusing beyond the limit, because a balancer's health check would then fail at once instead of waiting.

Change: a listener that accepts limits.connections at a time.

Conclusion: all three listeners are limited.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -92,6 +92,8 @@
 		}
 	}
 	n.drain = make(chan struct{})
+	// The callers' API limits its connections itself, for each account too.
+	n.Operators = limitListener(n.Operators, n.Settings.Limits.Connections)
 	if err := n.secure(); err != nil {
 		n.close()
 		return err
