Keep the place of a connection until its dial has ended

Cause: the check failed in TestConnectionCap on a busy machine: a request that was given up freed its place in the cap while its dial was still under way, and the dial could succeed for a moment beside its successor.

Ruled out: late counting by the test (it counts successful dials and closes only); sockets of completed requests, which are closed before the place is freed.

Change: the place is freed when the dial has ended.

Before: TestGivenUpDialKeepsPlace finds 0 open connections during the dial. After: 1, and the second request is refused.

Conclusion: the cap holds also for requests that are given up.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -28,11 +28,36 @@
 	transport *http.Transport
 	used      time.Time
 
-	ctx    context.Context // ends dialling when the connection is given up
-	cancel context.CancelFunc
-	mu     sync.Mutex
-	socket net.Conn
-	closed bool
+	ctx     context.Context // ends dialling when the connection is given up
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	socket  net.Conn
+	closed  bool
+	dialing bool
+	freed   func() // called when a dial ends that was under way at the close
+}
+
+// begin reports whether the connection may still be dialled.
+func (k *conn) begin() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return false
+	}
+	k.dialing = true
+	return true
+}
+
+// end ends a dial that began.
+func (k *conn) end() {
+	k.mu.Lock()
+	k.dialing = false
+	freed := k.freed
+	k.freed = nil
+	k.mu.Unlock()
+	if freed != nil {
+		freed()
+	}
 }
 
 // opened keeps the socket so that close can end it at once; it reports
@@ -44,17 +69,26 @@
 	return !k.closed
 }
 
-// close ends the connection before its place in the cap is given to another.
-// The transport itself closes sockets only some time after a request ended.
-func (k *conn) close() {
+// close ends the connection and then calls free, which gives its place in the
+// cap to another. The transport itself closes sockets only some time after a
+// request ended, and a dial under way can still succeed for a moment, so that
+// free is called when it has ended.
+func (k *conn) close(free func()) {
 	k.cancel()
 	k.mu.Lock()
 	k.closed = true
 	if k.socket != nil {
 		k.socket.Close()
 	}
+	wait := k.dialing
+	if wait {
+		k.freed = free
+	}
 	k.mu.Unlock()
 	k.transport.CloseIdleConnections()
+	if !wait {
+		free()
+	}
 }
 
 // acquire returns an idle connection or the right to open one. It fails with
@@ -107,6 +141,10 @@
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if !k.begin() {
+				return nil, net.ErrClosed
+			}
+			defer k.end()
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			defer context.AfterFunc(k.ctx, cancel)()
@@ -142,10 +180,11 @@
 
 // discard closes a connection whose state is not known.
 func (c *Client) discard(addr string, k *conn) {
-	k.close()
-	c.pools.mu.Lock()
-	defer c.pools.mu.Unlock()
-	c.pools.pools[addr].open--
+	k.close(func() {
+		c.pools.mu.Lock()
+		defer c.pools.mu.Unlock()
+		c.pools.pools[addr].open--
+	})
 }
 
 // trim closes the idle connections beyond the cap and those idle for too
@@ -157,9 +196,9 @@
 	}
 	old := time.Now().Add(-idle)
 	for len(p.idle) > 0 && (p.open > limit || p.idle[0].used.Before(old)) {
-		p.idle[0].close()
+		// An idle connection is not being dialled, so its place is free at once.
+		p.idle[0].close(func() { p.open-- })
 		p.idle = p.idle[1:]
-		p.open--
 	}
 }
 
