--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -78,22 +78,6 @@
 	}
 }
 
-// newQuietPair returns two ready replicas of which neither has appended its join
-// again: on a busy machine such a copy can still be under way and would take
-// the injected fault.
-func newQuietPair(t *testing.T) (f *fleet, a, b *node) {
-	t.Helper()
-	for range 20 {
-		f = newFleet(t)
-		a, b = f.start("a", nil).ready(), f.start("b", nil).ready()
-		if a.Status().Counts.Reappends+b.Status().Counts.Reappends == 0 {
-			return f, a, b
-		}
-	}
-	t.Fatal("joins were appended again 20 times in a row")
-	return nil, nil, nil
-}
-
 // TestLateCopyInDoubt guards against a batch that changes between attempts, or
 // is given up as not appended, while an earlier copy can still arrive.
 func TestLateCopyInDoubt(t *testing.T) {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -199,3 +199,19 @@
 	var no *NotAppendedError
 	is.True(errors.As(err, &no))
 }
+
+// newQuietPair returns two ready replicas of which neither has appended its join
+// again: on a busy machine such a copy can still be under way and would take
+// the injected fault.
+func newQuietPair(t *testing.T) (f *fleet, a, b *node) {
+	t.Helper()
+	for range 20 {
+		f = newFleet(t)
+		a, b = f.start("a", nil).ready(), f.start("b", nil).ready()
+		if a.Status().Counts.Reappends+b.Status().Counts.Reappends == 0 {
+			return f, a, b
+		}
+	}
+	t.Fatal("joins were appended again 20 times in a row")
+	return nil, nil, nil
+}
