--- a/cli/log.go
+++ b/cli/log.go
@@ -7,10 +7,10 @@
 	"io"
 	"time"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/snapshot"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 const logTimeout = 10 * time.Second // for one read of the log
@@ -38,7 +38,7 @@
 	if *limit < 1 {
 		return &UsageError{"-limit: want at least 1"}
 	}
-	a := &logAudit{log: &platform.Log{URL: *link}, from: *from, limit: *limit, kind: record.Kind(*kind)}
+	a := &logAudit{log: &stream.Log{URL: *link}, from: *from, limit: *limit, kind: record.Kind(*kind)}
 	if err := a.run(f.ctx); err != nil {
 		return withExit(err, ExitUnreachable)
 	}
@@ -58,7 +58,7 @@
 // what is to be shown. Entries before that snapshot are shown without a
 // decision.
 type logAudit struct {
-	log   *platform.Log
+	log   *stream.Log
 	from  uint64
 	limit int
 	kind  record.Kind
@@ -114,13 +114,13 @@
 	return nil
 }
 
-func (a *logAudit) read(ctx context.Context, from uint64) (platform.Page, error) {
+func (a *logAudit) read(ctx context.Context, from uint64) (stream.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	return a.log.Read(ctx, from, 500, 0)
 }
 
-func (a *logAudit) entry(e platform.Entry) error {
+func (a *logAudit) entry(e stream.Entry) error {
 	b, err := record.Decode(e.Data)
 	if err != nil {
 		if a.state != nil {
--- a/demo/bench.go
+++ b/demo/bench.go
@@ -14,11 +14,11 @@
 	"jasminelane.example/lane/client"
 	"jasminelane.example/lane/entry"
 	"jasminelane.example/lane/operator"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/settings"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 	"jasminelane.example/lane/trace"
 	"jasminelane.example/lane/worker"
 )
@@ -182,9 +182,9 @@
 func (b *Bench) list() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []platform.Instance
+	var list []stream.Instance
 	for _, r := range b.entries {
-		list = append(list, platform.Instance{Name: r.name, Addr: r.Peers.Addr().String()})
+		list = append(list, stream.Instance{Name: r.name, Addr: r.Peers.Addr().String()})
 	}
 	b.Directory.Set(list)
 }
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -19,9 +19,9 @@
 
 	"jasminelane.example/lane/client"
 	"jasminelane.example/lane/operator"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // laned is the daemon's binary, built once by TestMain.
@@ -223,9 +223,9 @@
 
 // list tells the instance list who is live.
 func (c *cluster) list() {
-	var list []platform.Instance
+	var list []stream.Instance
 	for _, p := range c.live() {
-		list = append(list, platform.Instance{Name: p.name, Addr: p.listens().peers})
+		list = append(list, stream.Instance{Name: p.name, Addr: p.listens().peers})
 	}
 	c.directory.Set(list)
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -22,12 +22,12 @@
 	"jasminelane.example/lane/operator"
 	"jasminelane.example/lane/peer"
 	"jasminelane.example/lane/placement"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/replica"
 	"jasminelane.example/lane/route"
 	"jasminelane.example/lane/settings"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 	"jasminelane.example/lane/worker"
 )
 
@@ -112,7 +112,7 @@
 
 func (n *Instance) wire() {
 	set := n.Settings
-	log := &platform.Log{URL: set.Platform.Log}
+	log := &stream.Log{URL: set.Platform.Log}
 	n.decider = &Decider{
 		Rank: n.rank, Fresh: n.mayAct, NewID: n.newID, Now: time.Now, Logger: n.Logger, Metrics: &n.Metrics, Round: set.Times.Round,
 	}
@@ -147,7 +147,7 @@
 	if n.keys != nil {
 		n.peers.Dial = n.dialPeer
 	}
-	list := &platform.Directory{URL: set.Platform.List}
+	list := &stream.Directory{URL: set.Platform.List}
 	n.listing = &listing{list: list.List, set: n.table.SetListed, logger: n.Logger}
 	n.liveness = &member.Liveness{
 		Writer: n.Writer, View: r.View, Propose: r.Propose, List: list.List, Ping: n.peers.Ping, Ask: n.peers.Reach,
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/stream"
 )
 
 // listEvery is how often the platform's list is read for leaving backend
@@ -15,7 +15,7 @@
 
 // listing marks the backend servers that the platform's list shows as leaving.
 type listing struct {
-	list   func(context.Context) ([]platform.Instance, error)
+	list   func(context.Context) ([]stream.Instance, error)
 	set    func(leaving []string)
 	logger *zap.Logger
 }
--- /dev/null
+++ b/internal/fleet/feed/feed.go
@@ -0,0 +1,434 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+const (
+	// followWait and leadWait bound one long poll of the log. A follower's is
+	// short because it measures the leader's silence by successful reads.
+	followWait = 500 * time.Millisecond
+	leadWait   = time.Second
+
+	// followPause gathers records between two reads of a follower; callers see
+	// a job's state at most this much later. A leader pauses only long enough
+	// to read several submissions at once.
+	followPause = 150 * time.Millisecond
+	leadPause   = 15 * time.Millisecond
+
+	// retryPause separates reads of a log that fails.
+	retryPause = 200 * time.Millisecond
+
+	// StaleAfter is how long reads may fail before the state is called stale.
+	StaleAfter = 2 * time.Second
+
+	// silence is how long a leader may append nothing before others claim its
+	// place; a claim on a live leader is safe but costs a takeover.
+	silence = 1600 * time.Millisecond
+
+	// spread separates the claims of several instances; the first to append
+	// wins and the others read its claim before they try.
+	spread = 400 * time.Millisecond
+
+	// retain is how long ended jobs are kept in memory.
+	retain = 4 * time.Minute
+
+	forgetPeriod = 10 * time.Second
+)
+
+// Feed is one instance's copy of the ledger. The exported fields are set
+// before Run.
+type Feed struct {
+	Node   string // name of the instance
+	Boot   string // incarnation, different after each start
+	Append func(ctx context.Context, b Batch) (offset uint64, err error)
+	Read   func(ctx context.Context, from uint64, wait time.Duration) (Page, error)
+	Logger *zap.Logger
+
+	// OnApply, if set, is called for each record with whether it took effect,
+	// under the lock of the state.
+	OnApply func(s *ledger.State, r ledger.Record, took bool)
+	// OnLead, if set, is called when the instance begins to lead an epoch; the
+	// context ends with the epoch.
+	// The feed's lock is held: the state is the one at the claim.
+	OnLead func(ctx context.Context, epoch uint64, s *ledger.State)
+
+	mu       sync.Mutex
+	state    *ledger.State
+	next     uint64 // offset of the next record to fold
+	caught   bool   // the end of the log has been reached once
+	reached  time.Time
+	failing  bool
+	signs    uint64    // state.Beats at the last look
+	lastSign time.Time // of the leader, or since when reads succeed
+	changed  chan struct{}
+	lead     *term
+	forgot   time.Time
+	quiet    bool   // never claims again
+	floor    uint64 // lowest epoch that the log may still accept a claim for
+
+	syncing sync.Mutex
+}
+
+// term is the epoch that this instance leads.
+type term struct {
+	epoch  uint64
+	cancel context.CancelFunc
+	queue  []ledger.Record
+	wake   chan struct{}
+}
+
+// Run reads and folds the log until the context ends.
+func (f *Feed) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.init()
+	f.mu.Unlock()
+	jitter := time.Duration(rand.Int64N(int64(spread)))
+	for ctx.Err() == nil {
+		leading := f.Leading()
+		wait, pause := followWait, followPause
+		if leading {
+			wait, pause = leadWait, leadPause
+		}
+		n, err := f.poll(ctx, wait)
+		if err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		f.forget()
+		if f.shouldClaim(jitter) {
+			f.claim(ctx)
+			jitter = time.Duration(rand.Int64N(int64(spread)))
+			continue
+		}
+		if n > 0 {
+			sleep(ctx, pause)
+		}
+	}
+	f.stepDown("stopped")
+	return ctx.Err()
+}
+
+// init must be called with the lock held.
+func (f *Feed) init() {
+	if f.state == nil {
+		f.state = ledger.NewState()
+		f.changed = make(chan struct{})
+		f.lastSign = time.Now()
+	}
+	if f.Logger == nil {
+		f.Logger = zap.NewNop()
+	}
+}
+
+// poll makes one read and folds its records; it returns their number.
+func (f *Feed) poll(ctx context.Context, wait time.Duration) (int, error) {
+	f.mu.Lock()
+	from := f.next
+	f.mu.Unlock()
+	p, err := f.Read(ctx, from, wait)
+	var expired *ExpiredError
+	if errors.As(err, &expired) && expired.First > from {
+		f.skip(from, expired.First)
+		return 1, nil
+	}
+	if err != nil {
+		f.readFailed(err)
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.failing {
+		f.failing = false
+		f.lastSign = now
+		f.Logger.Info("log regained", zap.Uint64("offset", p.From))
+	}
+	f.reached = now
+	f.fold(p)
+	if f.next >= p.End && !f.caught {
+		f.caught = true
+		f.lastSign = now
+		f.Logger.Info("log read", zap.Uint64("offset", f.next), zap.Int("jobs", len(f.state.Jobs)), zap.Uint64("epoch", f.state.Epoch))
+	}
+	if f.state.Beats != f.signs {
+		f.signs = f.state.Beats
+		f.lastSign = now
+	}
+	return len(p.Records), nil
+}
+
+func (f *Feed) readFailed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		f.failing = true
+		f.Logger.Warn("log lost", zap.Uint64("offset", f.next), zap.Error(err))
+	}
+}
+
+// skip goes on at the oldest retained record. Every live job is written again
+// in full within the time of retention, so the state is whole at the end.
+func (f *Feed) skip(from, first uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == from {
+		f.next = first
+	}
+	f.Logger.Info("log expired", zap.Uint64("from", from), zap.Uint64("first", first))
+}
+
+// fold applies the records that have not been applied; it is called with the
+// lock held.
+func (f *Feed) fold(p Page) {
+	took := false
+	for i, data := range p.Records {
+		offset := p.From + uint64(i)
+		if offset < f.next {
+			continue
+		}
+		if offset > f.next {
+			break
+		}
+		f.next++
+		took = true
+		f.apply(offset, data)
+	}
+	if took {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+func (f *Feed) apply(offset uint64, data []byte) {
+	r, err := ledger.Decode(data)
+	if err != nil {
+		f.Logger.Warn("record skipped", zap.Uint64("offset", offset), zap.Error(err))
+		return
+	}
+	took := f.state.Apply(offset, r)
+	if r.Claim != nil && took {
+		f.elected(*r.Claim)
+	}
+	if f.OnApply != nil {
+		f.OnApply(f.state, r, took)
+	}
+}
+
+// elected ends this instance's term or begins one; it is called with the lock
+// held.
+func (f *Feed) elected(c ledger.Claim) {
+	if f.lead != nil {
+		f.lead.cancel()
+		f.lead = nil
+		f.Logger.Warn("leadership lost", zap.Uint64("epoch", c.Epoch), zap.String("to", c.Node))
+	}
+	if c.Boot != f.Boot || c.Node != f.Node {
+		f.Logger.Info("leader elected", zap.Uint64("epoch", c.Epoch), zap.String("leader", c.Node))
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.lead = &term{epoch: c.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
+	f.Logger.Info("leading", zap.Uint64("epoch", c.Epoch), zap.Uint64("offset", f.next))
+	go f.commitLoop(ctx, f.lead)
+	if f.OnLead != nil {
+		f.OnLead(ctx, c.Epoch, f.state)
+	}
+}
+
+// shouldClaim reports whether the leader has gone.
+func (f *Feed) shouldClaim(jitter time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.caught || f.failing || f.lead != nil || f.quiet {
+		return false
+	}
+	since := time.Since(f.lastSign)
+	if f.state.Vacant {
+		return since > jitter/4
+	}
+	// An earlier incarnation of this instance no longer leads.
+	if f.state.Leader.Node == f.Node && f.state.Leader.Boot != f.Boot {
+		return true
+	}
+	return since > silence+jitter
+}
+
+// claim tries to become the leader of the next epoch. The outcome is read from
+// the log.
+func (f *Feed) claim(ctx context.Context) {
+	f.mu.Lock()
+	at := f.next
+	epoch := max(f.state.Epoch+1, f.floor)
+	silent := time.Since(f.lastSign)
+	f.lastSign = time.Now()
+	f.mu.Unlock()
+	data, err := ledger.Encode(ledger.Record{Claim: &ledger.Claim{Epoch: epoch, Node: f.Node, Boot: f.Boot}})
+	if err != nil {
+		f.Logger.Error("claim not encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, err = f.Append(ctx, Batch{Records: [][]byte{data}, At: &at, Epoch: epoch, Seq: 1})
+	var fenced *FencedError
+	if errors.As(err, &fenced) {
+		// A claim that did not take effect may have used the epoch up.
+		f.mu.Lock()
+		f.floor = epoch + 1
+		f.mu.Unlock()
+	}
+	f.Logger.Info("claim", zap.Uint64("epoch", epoch), zap.Uint64("at", at), zap.Duration("silent", silent), zap.Error(err))
+}
+
+func (f *Feed) stepDown(cause string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lead == nil {
+		return
+	}
+	f.Logger.Info("leadership ended", zap.Uint64("epoch", f.lead.epoch), zap.String("cause", cause))
+	f.lead.cancel()
+	f.lead = nil
+}
+
+func (f *Feed) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.forgot) < forgetPeriod {
+		return
+	}
+	f.forgot = time.Now()
+	f.state.Forget(time.Now().Add(-retain).UnixMilli())
+}
+
+// Leading reports whether this instance leads.
+func (f *Feed) Leading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lead != nil
+}
+
+// Status is how current the state is.
+type Status struct {
+	Caught bool          // the log has been read to its end once
+	Age    time.Duration // since the last successful read
+	Next   uint64        // offset of the next record
+	Epoch  uint64
+	Leader string
+}
+
+// Fresh reports whether the state may be trusted to know all accepted jobs but
+// the newest.
+func (s Status) Fresh() bool { return s.Caught && s.Age < StaleAfter }
+
+// Status returns how current the state is.
+func (f *Feed) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return Status{f.caught, time.Since(f.reached), f.next, f.state.Epoch, f.state.Leader.Node}
+}
+
+// View calls g with the state under its lock; g must not keep or change it.
+func (f *Feed) View(g func(s *ledger.State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	g(f.state)
+}
+
+// ViewAt is View with the offset of the next record.
+func (f *Feed) ViewAt(g func(s *ledger.State, next uint64)) {
+	f.View(func(s *ledger.State) { g(s, f.next) })
+}
+
+// Changed returns a channel that is closed when the next records are folded.
+func (f *Feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return f.changed
+}
+
+// Sync reads the log to its present end.
+func (f *Feed) Sync(ctx context.Context) error {
+	f.syncing.Lock()
+	defer f.syncing.Unlock()
+	for {
+		n, err := f.poll(ctx, 0)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			return nil
+		}
+	}
+}
+
+// Write appends a record that needs no leader. An error other than
+// *UncertainError means that it was certainly not appended.
+func (f *Feed) Write(ctx context.Context, r ledger.Record) error {
+	data, err := ledger.Encode(r)
+	if err != nil {
+		return err
+	}
+	offset, err := f.Append(ctx, Batch{Records: [][]byte{data}})
+	if err != nil {
+		return err
+	}
+	f.own(offset, [][]byte{data})
+	return nil
+}
+
+// own folds records that this instance has appended if no other record stands
+// between them and the state.
+func (f *Feed) own(offset uint64, records [][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	f.fold(Page{From: offset, Records: records})
+}
+
+// Retire makes the instance hand its leadership over and never claim again.
+func (f *Feed) Retire(ctx context.Context) {
+	f.mu.Lock()
+	f.quiet = true
+	lead := f.lead
+	f.mu.Unlock()
+	if lead == nil {
+		return
+	}
+	f.Propose(lead.epoch, ledger.Record{Resign: &ledger.Beat{Epoch: lead.epoch}})
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		gone := f.state.Vacant || f.lead != lead
+		wait := f.changed
+		f.mu.Unlock()
+		if gone {
+			break
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		}
+	}
+	f.stepDown("resigned")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/fleet/instance/instance.go
@@ -0,0 +1,223 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/intake"
+	"jasminelane.example/lane/internal/fleet/leader"
+	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/policy"
+	"jasminelane.example/lane/metric"
+)
+
+const (
+	// balancerDelay is how long after it called itself not ready an instance
+	// may still get new connections: two probes a second apart, and a margin.
+	balancerDelay = 2500 * time.Millisecond
+
+	// exitReserve is the part of the grace in which the process ends.
+	exitReserve = 700 * time.Millisecond
+
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	headerBytes   = 16 << 10
+)
+
+// Settings are what an instance needs to know of its deployment.
+type Settings struct {
+	Node    string
+	Domain  string // failure domain
+	Callers string // address for callers
+	Ready   string // address for the balancer's probes
+	Metrics string // address for metrics; empty serves none
+	Memory  int64  // bytes; 0 is no limit
+	Grace   time.Duration
+	Bounds  leader.Bounds
+}
+
+// NotReadyError reports why an instance takes no new callers.
+type NotReadyError struct {
+	Cause string
+}
+
+// Error names the cause.
+func (e *NotReadyError) Error() string { return "not ready: " + e.Cause }
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Addr string
+	Err  error
+}
+
+// Error names the address.
+func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Addr, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Instance is one incarnation of an entry instance. The exported fields are set
+// before Run; the function fields are the platform's side.
+type Instance struct {
+	Settings Settings
+	Logger   *zap.Logger
+	Metrics  *metric.Set
+
+	Append       func(ctx context.Context, b feed.Batch) (uint64, error)
+	Read         func(ctx context.Context, from uint64, wait time.Duration) (feed.Page, error)
+	Orders       leader.Orders
+	WatchConfig  func(ctx context.Context, current *policy.Current, log *zap.Logger)
+	WatchWorkers func(ctx context.Context, log *zap.Logger, enlist func([]leader.Entry))
+	CallersOn    func(n *Instance) http.Handler // the callers' interface
+	ReadyOn      func(n *Instance) http.Handler // the balancer's probe
+
+	Feed   *feed.Feed
+	Policy *policy.Current
+	Intake *intake.Intake
+
+	leading  atomic.Pointer[leader.Leader]
+	draining atomic.Bool
+}
+
+// Wire makes the parts from the settings.
+func (n *Instance) Wire() {
+	boot := strconv.FormatInt(time.Now().UnixNano(), 36)
+	n.Policy = &policy.Current{}
+	n.Feed = &feed.Feed{
+		Node: n.Settings.Node, Boot: boot, Append: n.Append, Read: n.Read, Logger: n.Logger,
+		OnLead: n.lead, OnApply: n.applied,
+	}
+	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
+	if n.Metrics != nil {
+		n.Metrics.Gauge("feed", func() any { return n.Feed.Status() })
+	}
+}
+
+// lead starts what the leader of an epoch does; the feed's lock is held.
+func (n *Instance) lead(ctx context.Context, epoch uint64, s *ledger.State) {
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Orders: n.Orders, Bounds: n.Settings.Bounds, Logger: n.Logger}
+	l.Init(ctx, s, nil)
+	n.leading.Store(l)
+	go l.Run()
+	go n.WatchWorkers(ctx, n.Logger, l.Enlist)
+}
+
+// applied passes folded records on to the leader; the feed's lock is held.
+func (n *Instance) applied(s *ledger.State, r ledger.Record, took bool) {
+	if l := n.leading.Load(); l != nil {
+		l.Applied(s, r, took)
+	}
+}
+
+// Draining reports whether the instance is shutting down.
+func (n *Instance) Draining() bool { return n.draining.Load() }
+
+// ReadyState returns nil when the instance should get new callers, and
+// *NotReadyError otherwise.
+func (n *Instance) ReadyState() error {
+	st := n.Feed.Status()
+	switch {
+	case n.Draining():
+		return &NotReadyError{"draining"}
+	case n.Policy.Get() == nil:
+		return &NotReadyError{"no configuration"}
+	case !st.Caught:
+		return &NotReadyError{"log not read"}
+	case !st.Fresh():
+		return &NotReadyError{"log unavailable"}
+	}
+	return nil
+}
+
+// Run serves until the stop channel is closed and the instance has drained, or
+// a part fails.
+func (n *Instance) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return n.Feed.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { n.WatchConfig(ctx, n.Policy, n.Logger); return ctx.Err() }, func(error) { cancel() })
+	callers, err := n.listen(&g, n.Settings.Callers, n.CallersOn(n))
+	if err != nil {
+		return err
+	}
+	if _, err := n.listen(&g, n.Settings.Ready, n.ReadyOn(n)); err != nil {
+		return err
+	}
+	if n.Settings.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", n.Metrics)
+		if _, err := n.listen(&g, n.Settings.Metrics, mux); err != nil {
+			n.Logger.Warn("metrics not served", zap.Error(err))
+		}
+	}
+	done := make(chan struct{})
+	g.Add(func() error { return n.drainOn(stop, done, callers) }, func(error) { close(done) })
+	n.Logger.Info("started", zap.String("node", n.Settings.Node), zap.String("domain", n.Settings.Domain), zap.String("boot", n.Feed.Boot), zap.String("callers", n.Settings.Callers))
+	err = g.Run()
+	n.Logger.Info("stopped", zap.Error(err))
+	var drained *DrainedError
+	if errors.As(err, &drained) {
+		return nil
+	}
+	return err
+}
+
+// DrainedError ends the instance after a graceful shutdown.
+type DrainedError struct{}
+
+// Error says that the instance has drained.
+func (*DrainedError) Error() string { return "drained" }
+
+func (n *Instance) listen(g *run.Group, addr string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &ListenError{addr, err}
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	g.Add(func() error {
+		err := srv.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-make(chan struct{}) // the shutdown ends the group
+		}
+		return err
+	}, func(error) { srv.Close() })
+	return srv, nil
+}
+
+// drainOn waits for the stop and shuts down: the leadership is handed over and
+// the balancer told, callers in the meantime are served, and the process ends
+// within the grace.
+func (n *Instance) drainOn(stop <-chan struct{}, done <-chan struct{}, callers *http.Server) error {
+	select {
+	case <-stop:
+	case <-done:
+		return nil
+	}
+	began := time.Now()
+	n.draining.Store(true)
+	n.Logger.Info("draining", zap.Bool("leading", n.Feed.Leading()))
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-exitReserve)
+	defer cancel()
+	go n.Feed.Retire(ctx)
+	t := time.NewTimer(min(balancerDelay, n.Settings.Grace/2))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-done:
+		return nil
+	}
+	err := callers.Shutdown(ctx)
+	n.Logger.Info("drained", zap.Duration("took", time.Since(began)), zap.Error(err))
+	return &DrainedError{}
+}
--- /dev/null
+++ b/internal/fleet/intake/intake.go
@@ -0,0 +1,203 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/policy"
+)
+
+const (
+	// tryTimeout bounds one append; a log that loses an answer is asked again,
+	// since a repeated submission has no second effect.
+	tryTimeout = 700 * time.Millisecond
+
+	// retryPause separates appends that the log refused.
+	retryPause = 150 * time.Millisecond
+
+	// answerReserve is the part of a caller's time that is kept for the answer.
+	answerReserve = 150 * time.Millisecond
+
+	// defaultTime is the time of callers that name none.
+	defaultTime = 3 * time.Second
+
+	// maxTries bounds the appends for one request.
+	maxTries = 4
+
+	// retryAfter is when callers may return if the log is not available.
+	retryAfter = time.Second
+)
+
+// Fate is what became of a caller's request.
+type Fate int
+
+// The fates of requests.
+const (
+	Accepted Fate = iota // stored
+	NotRun               // certainly not stored, and never will be
+	Unknown              // may be stored
+	Gone                 // no such job
+)
+
+// String returns the fate's name in logs.
+func (f Fate) String() string {
+	return [...]string{"accepted", "notrun", "unknown", "gone"}[f]
+}
+
+// Answer is the fate of a request and its cause.
+type Answer struct {
+	Fate       Fate
+	Cause      string
+	RetryAfter time.Duration // when a request that was not run may come again
+}
+
+// Intake serves callers from one instance's copy of the ledger. The exported
+// fields are set before use.
+type Intake struct {
+	Feed   *feed.Feed
+	Policy *policy.Current
+	Node   string
+	Logger *zap.Logger
+	Now    func() time.Time // time.Now if nil
+}
+
+func (n *Intake) now() time.Time {
+	if n.Now != nil {
+		return n.Now()
+	}
+	return time.Now()
+}
+
+// Submit stores a job of the route's queue.
+func (n *Intake) Submit(ctx context.Context, route *policy.Route, account string, j ledger.Job) Answer {
+	j.Queue, j.Service, j.Account = route.Name, route.Service, account
+	j.Priority, j.Attempts, j.Stretch, j.Target = route.Priority, route.Attempts, route.Stretch, route.Target
+	j.Accepted, j.Node = n.now().UnixMilli(), n.Node
+	known := func(s *ledger.State) bool { return s.Jobs[j.ID] != nil }
+	a := n.store(ctx, ledger.Record{Submit: &j}, known)
+	n.Logger.Info("submit", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("account", account),
+		zap.Stringer("fate", a.Fate), zap.String("cause", a.Cause), zap.Int64("took", n.now().UnixMilli()-j.Accepted))
+	return a
+}
+
+// Cancel stores the cancellation of a job.
+func (n *Intake) Cancel(ctx context.Context, id string) Answer {
+	phase, err := n.find(ctx, id)
+	a := Answer{Fate: Accepted, Cause: "known"}
+	switch {
+	case err != nil:
+		a = Answer{NotRun, "log unavailable", retryAfter}
+	case phase == "" || phase == ledger.Finished || phase == ledger.Faulty:
+		a = Answer{Fate: Gone, Cause: string(phase)}
+	case phase != ledger.Cancelled:
+		known := func(s *ledger.State) bool { return s.Jobs[id] != nil && s.Jobs[id].Phase == ledger.Cancelled }
+		a = n.store(ctx, ledger.Record{Cancel: &ledger.Cancel{ID: id, At: n.now().UnixMilli()}}, known)
+	}
+	n.Logger.Info("cancel", zap.String("job", id), zap.String("phase", string(phase)), zap.Stringer("fate", a.Fate), zap.String("cause", a.Cause))
+	return a
+}
+
+// Phase returns the phase of a job; it is empty if no such job exists, and the
+// error is set if that cannot be told.
+func (n *Intake) Phase(ctx context.Context, id string) (ledger.Phase, error) {
+	phase, err := n.find(ctx, id)
+	if phase == "" {
+		n.Logger.Info("job not found", zap.String("job", id), zap.Uint64("offset", n.Feed.Status().Next), zap.Error(err))
+	}
+	return phase, err
+}
+
+// Pending counts the queue's accepted jobs of which no task has started.
+func (n *Intake) Pending(queue string) int {
+	pending := 0
+	n.Feed.View(func(s *ledger.State) { pending = s.Pending(queue) })
+	return pending
+}
+
+// find looks a job up, in the log's newest records too if it is not known.
+func (n *Intake) find(ctx context.Context, id string) (ledger.Phase, error) {
+	if phase := n.look(id); phase != "" {
+		return phase, nil
+	}
+	ctx, cancel := n.budget(ctx)
+	defer cancel()
+	if err := n.Feed.Sync(ctx); err != nil {
+		return "", err
+	}
+	return n.look(id), nil
+}
+
+func (n *Intake) look(id string) ledger.Phase {
+	var phase ledger.Phase
+	n.Feed.View(func(s *ledger.State) {
+		if js := s.Jobs[id]; js != nil {
+			phase = js.Phase
+		}
+	})
+	return phase
+}
+
+// budget bounds the context by the caller's time, less what the answer takes.
+func (n *Intake) budget(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithTimeout(ctx, defaultTime-answerReserve)
+	}
+	return context.WithDeadline(ctx, end.Add(-answerReserve))
+}
+
+// store appends a record whose repetition has no effect, within the caller's
+// time. known reports whether the state shows its effect.
+func (n *Intake) store(ctx context.Context, r ledger.Record, known func(*ledger.State) bool) Answer {
+	ctx, cancel := n.budget(ctx)
+	defer cancel()
+	uncertain := false
+	var cause error
+	for try := 0; try < maxTries; try++ {
+		if n.view(known) {
+			return Answer{Fate: Accepted, Cause: "known"}
+		}
+		attempt, stop := context.WithTimeout(ctx, tryTimeout)
+		err := n.Feed.Write(attempt, r)
+		stop()
+		if err == nil {
+			return Answer{Fate: Accepted}
+		}
+		cause = err
+		var lost *feed.UncertainError
+		uncertain = uncertain || errors.As(err, &lost)
+		if ctx.Err() != nil {
+			break
+		}
+		if lost == nil {
+			pause(ctx, retryPause)
+		}
+	}
+	switch {
+	case n.view(known):
+		return Answer{Fate: Accepted, Cause: "known"}
+	case uncertain:
+		return Answer{Fate: Unknown, Cause: cause.Error()}
+	}
+	return Answer{NotRun, cause.Error(), retryAfter}
+}
+
+func (n *Intake) view(known func(*ledger.State) bool) bool {
+	ok := false
+	n.Feed.View(func(s *ledger.State) { ok = known(s) })
+	return ok
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/measure/sample.go
+++ b/measure/sample.go
@@ -13,13 +13,13 @@
 
 	"jasminelane.example/lane/peer"
 	"jasminelane.example/lane/placement"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/schedule"
 	"jasminelane.example/lane/shape"
 	"jasminelane.example/lane/snapshot"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 	"jasminelane.example/lane/worker"
 )
 
@@ -240,7 +240,7 @@
 	server := httptest.NewServer(log)
 	defer server.Close()
 	c := &counter{}
-	client := &platform.Log{URL: server.URL, Client: c.client()}
+	client := &stream.Log{URL: server.URL, Client: c.client()}
 	log.Append([]byte{0})
 	return unit("poll", c, func() error {
 		_, err := client.Read(ctx, 0, 100, 0)
--- a/member/liveness.go
+++ b/member/liveness.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 const (
@@ -27,7 +27,7 @@
 	View    func(func(*state.State)) // replica.Replica.View
 	Fresh   func() bool              // whether the view is current and the log is up; nothing is evicted otherwise
 	Propose func(ctx context.Context, recs ...record.Record) ([]state.Outcome, error)
-	List    func(ctx context.Context) ([]platform.Instance, error)
+	List    func(ctx context.Context) ([]stream.Instance, error)
 	Ping    func(ctx context.Context, addr, writer string) error
 	Ask     func(ctx context.Context, addr, writer string) (bool, error) // whether the member at addr reaches the writer
 	Logger  *zap.Logger                                                  // none if nil
@@ -43,8 +43,8 @@
 	once     sync.Once
 	mu       sync.Mutex
 	contacts map[string]*contact
-	list     map[string]platform.Instance // by name
-	listed   time.Time                    // when the list was read; zero never
+	list     map[string]stream.Instance // by name
+	listed   time.Time                  // when the list was read; zero never
 	ticked   time.Time
 	answer   bool // this instance was challenged
 	wg       sync.WaitGroup
@@ -257,7 +257,7 @@
 	if err != nil {
 		return
 	}
-	byName := make(map[string]platform.Instance, len(list))
+	byName := make(map[string]stream.Instance, len(list))
 	for _, in := range list {
 		byName[in.Name] = in
 	}
--- a/member/liveness_test.go
+++ b/member/liveness_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // world is a fleet in which time, contact, list and log are under control.
@@ -21,7 +21,7 @@
 	mu      sync.Mutex
 	now     time.Time
 	st      *state.State
-	list    []platform.Instance
+	list    []stream.Instance
 	listErr error
 	cut     func(from, to string) bool // by writer
 	fresh   bool
@@ -41,7 +41,7 @@
 	w.st.Members = members(n)
 	for _, m := range w.st.Members {
 		w.st.Writers[m.Writer] = &state.Writer{ID: m.Writer, Seq: 1}
-		w.list = append(w.list, platform.Instance{Name: m.Name, Addr: m.Addr})
+		w.list = append(w.list, stream.Instance{Name: m.Name, Addr: m.Addr})
 	}
 	for _, m := range w.st.Members {
 		w.lives = append(w.lives, w.liveness(m.Writer))
@@ -65,7 +65,7 @@
 		Propose: func(_ context.Context, recs ...record.Record) ([]state.Outcome, error) {
 			return nil, w.propose(writer, recs[0])
 		},
-		List: func(context.Context) ([]platform.Instance, error) {
+		List: func(context.Context) ([]stream.Instance, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			return slices.Clone(w.list), w.listErr
--- a/member/wired_test.go
+++ b/member/wired_test.go
@@ -11,11 +11,11 @@
 
 	"jasminelane.example/lane/member"
 	"jasminelane.example/lane/peer"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/replica"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // instance is a replica with its liveness and peer server.
@@ -33,7 +33,7 @@
 	}
 	in := &instance{}
 	in.Replica = &replica.Replica{
-		Log: &platform.Log{URL: logURL}, Writer: name + "/1", ReadyDelay: -1,
+		Log: &stream.Log{URL: logURL}, Writer: name + "/1", ReadyDelay: -1,
 		Join:      record.Join{Name: name, Addr: l.Addr().String(), Version: record.Version},
 		OnOutcome: func(o state.Outcome) { in.live.Observe(o) },
 	}
@@ -41,7 +41,7 @@
 	in.live = &member.Liveness{
 		Writer: in.Writer, View: in.View, Propose: in.Propose,
 		Fresh: func() bool { s := in.Status(); return s.Ready && s.Fresh && !s.LogDown },
-		List:  (&platform.Directory{URL: listURL}).List,
+		List:  (&stream.Directory{URL: listURL}).List,
 		Ping:  calls.Ping, Ask: calls.Reach,
 		Interval: 20 * time.Millisecond, PingTimeout: 200 * time.Millisecond, ListMaxAge: 20 * time.Millisecond,
 		Suspect: 300 * time.Millisecond, Confirm: 900 * time.Millisecond,
@@ -94,14 +94,14 @@
 				logServer.Close()
 				listServer.Close()
 			})
-			list.Set([]platform.Instance{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+			list.Set([]stream.Instance{{Name: "a"}, {Name: "b"}, {Name: "c"}})
 			var all []*instance
 			for _, n := range []string{"a", "b", "c"} {
 				all = append(all, startInstance(t, n, logServer.URL, listServer.URL))
 			}
 			all[2].stop()
 			if !listed {
-				list.Set([]platform.Instance{{Name: "a"}, {Name: "b"}})
+				list.Set([]stream.Instance{{Name: "a"}, {Name: "b"}})
 			}
 			writers := func(in *instance) (out []string) {
 				in.View(func(s *state.State) {
--- a/replica/append.go
+++ b/replica/append.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // reader is the lowest version of the fold that understands what this program
@@ -126,7 +126,7 @@
 		}
 		wasDoubt := r.queue.setDoubt(p, true)
 		offset, err := r.append(ctx, p)
-		var lost *platform.LostError
+		var lost *stream.LostError
 		switch {
 		case err == nil:
 			delay.n = 0
@@ -172,7 +172,7 @@
 	if err == nil {
 		return offset, nil
 	}
-	var lost *platform.LostError
+	var lost *stream.LostError
 	if errors.As(err, &lost) {
 		r.counts.lost.Add(1)
 	} else {
@@ -264,7 +264,7 @@
 
 // settle takes the fold's outcomes for an own batch read from the log. It
 // fails with *FencedError when the log refuses the writer.
-func (r *Replica) settle(e platform.Entry, b *record.Batch, out []state.Outcome, admitted bool) error {
+func (r *Replica) settle(e stream.Entry, b *record.Batch, out []state.Outcome, admitted bool) error {
 	q := &r.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -6,9 +6,9 @@
 	"net/http/httptest"
 	"testing"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/stream"
 )
 
 // BenchmarkCatchUp measures how fast a new replica reads and folds a log of
@@ -33,7 +33,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				r := &Replica{Log: &platform.Log{URL: srv.URL}, Writer: "r", SnapshotRecords: -1}
+				r := &Replica{Log: &stream.Log{URL: srv.URL}, Writer: "r", SnapshotRecords: -1}
 				ctx, cancel := context.WithCancel(context.Background())
 				ended := make(chan error, 1)
 				go func() { ended <- r.Run(ctx) }()
@@ -54,7 +54,7 @@
 	store := &standin.Log{}
 	srv := httptest.NewServer(store)
 	defer srv.Close()
-	r := &Replica{Log: &platform.Log{URL: srv.URL}, Writer: "r", SnapshotRecords: -1}
+	r := &Replica{Log: &stream.Log{URL: srv.URL}, Writer: "r", SnapshotRecords: -1}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
--- a/replica/example_test.go
+++ b/replica/example_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net/http/httptest"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/replica"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // A replica joins, publishes a configuration record, and sees it in its state.
@@ -17,7 +17,7 @@
 	srv := httptest.NewServer(&standin.Log{})
 	defer srv.Close()
 	r := &replica.Replica{
-		Log:        &platform.Log{URL: srv.URL},
+		Log:        &stream.Log{URL: srv.URL},
 		Writer:     "kochi-1/1796361383123",
 		Join:       record.Join{Name: "kochi-1", Domain: "kochi", Version: record.Version},
 		ReadyDelay: -1,
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/matryer/is"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // copies returns how many entries of the log hold a record with the id, and
@@ -100,11 +100,11 @@
 					if down {
 						f.log.Fault(standin.LogFault{NoAppends: ptr(true)})
 					}
-					return &platform.StatusError{}
+					return &stream.StatusError{}
 				case arrive:
 					arrive = false
 					f.log.Append(first)
-					return &platform.StatusError{}
+					return &stream.StatusError{}
 				}
 				return nil
 			}
@@ -325,7 +325,7 @@
 	is.True(a.Status().Fresh)
 	// One read ends in an error after a pause of a minute, the next fails at
 	// once, and the third hangs.
-	errBroken := &platform.StatusError{Status: 1}
+	errBroken := &stream.StatusError{Status: 1}
 	reads.set(
 		func(*http.Request) error { clock.advance(time.Minute); return errBroken },
 		func(*http.Request) error { return errBroken },
--- a/replica/page_test.go
+++ b/replica/page_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/stream"
 )
 
 // TestOldSnapshotIsNoState guards against a reload that takes the replica back
@@ -32,7 +32,7 @@
 	is.NoErr(err)
 	is.True(s == nil) // this replica is past it and keeps its state
 
-	b := &Replica{Log: &platform.Log{URL: f.url}, Writer: "b"}
+	b := &Replica{Log: &stream.Log{URL: f.url}, Writer: "b"}
 	b.init()
 	s, err = b.find(t.Context())
 	is.NoErr(err)
@@ -51,7 +51,7 @@
 	if !l.behind.Load() || q.Method != http.MethodGet || !strings.HasSuffix(q.URL.Path, "/log") {
 		return http.DefaultTransport.RoundTrip(q)
 	}
-	data, err := record.Marshal(platform.Page{End: 1})
+	data, err := record.Marshal(stream.Page{End: 1})
 	if err != nil {
 		return nil, err
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -9,16 +9,16 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // Replica is one instance's copy of the state. Exported fields are set before
 // Run; zero durations and counts mean the documented defaults. Its methods are
 // safe for concurrent use.
 type Replica struct {
-	Log    *platform.Log
+	Log    *stream.Log
 	Writer string      // unique to this incarnation; never used again
 	Join   record.Join // appended first; an empty Name makes no member
 	Logger *zap.Logger // none if nil
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 const testTimeout = 20 * time.Second
@@ -47,7 +47,7 @@
 func (f *fleet) start(writer string, change func(*Replica)) *node {
 	f.t.Helper()
 	r := &Replica{
-		Log: &platform.Log{URL: f.url}, Writer: writer, Join: record.Join{Name: writer, Version: record.Version},
+		Log: &stream.Log{URL: f.url}, Writer: writer, Join: record.Join{Name: writer, Version: record.Version},
 		Wait: 200 * time.Millisecond, ReadTimeout: 300 * time.Millisecond, AppendTimeout: 300 * time.Millisecond,
 		ReadyDelay: -1, ReturnDelay: 20 * time.Millisecond, SnapshotRecords: -1, SnapshotDelay: 300 * time.Millisecond,
 	}
--- a/replica/snapshots_test.go
+++ b/replica/snapshots_test.go
@@ -12,11 +12,11 @@
 	"github.com/matryer/is"
 
 	"jasminelane.example/lane/member"
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/snapshot"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // write makes the node append a snapshot now and returns its offset.
@@ -134,7 +134,7 @@
 					hung <- struct{}{}
 					<-resume
 				} else if !effect {
-					return &platform.StatusError{}
+					return &stream.StatusError{}
 				}
 				return nil
 			}
--- a/replica/tail.go
+++ b/replica/tail.go
@@ -8,10 +8,10 @@
 
 	"go.uber.org/zap"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/snapshot"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 const (
@@ -60,7 +60,7 @@
 	if ctx.Err() != nil {
 		return true, nil
 	}
-	var expired *platform.ExpiredError
+	var expired *stream.ExpiredError
 	switch {
 	case errors.As(err, &expired) && expired.First > from:
 		r.Logger.Warn("entries expired", zap.Uint64("offset", from), zap.Uint64("first", expired.First))
@@ -78,7 +78,7 @@
 	case page.End < from:
 		// An answer from before what was already folded: never fold backwards.
 		r.Logger.Warn("stale page", zap.Uint64("offset", from), zap.Uint64("end", page.End))
-		t.failed(ctx, &platform.AnswerError{What: "log is shorter than before"}, true)
+		t.failed(ctx, &stream.AnswerError{What: "log is shorter than before"}, true)
 		return false, nil
 	}
 	t.succeeded(page, start, elapsed)
@@ -127,7 +127,7 @@
 	r.progress.fire()
 }
 
-func (t *tailer) succeeded(page platform.Page, start time.Time, elapsed time.Duration) {
+func (t *tailer) succeeded(page stream.Page, start time.Time, elapsed time.Duration) {
 	r := t.r
 	t.delay.n = 0
 	r.mu.Lock()
@@ -149,7 +149,7 @@
 }
 
 // fold applies one entry and tells those that wait for it.
-func (t *tailer) fold(e platform.Entry) (done bool, err error) {
+func (t *tailer) fold(e stream.Entry) (done bool, err error) {
 	r := t.r
 	b, err := decode(e)
 	if err != nil {
@@ -215,7 +215,7 @@
 // decode returns the batch of an entry, or nil if it is none. A batch of a
 // newer program whose encoding this one cannot read is not skipped, as newer
 // programs fold it.
-func decode(e platform.Entry) (*record.Batch, error) {
+func decode(e stream.Entry) (*record.Batch, error) {
 	b, err := record.Decode(e.Data)
 	if err == nil {
 		return b, nil
@@ -264,7 +264,7 @@
 		if err == nil {
 			return r.install(s)
 		}
-		var down *platform.DownError
+		var down *stream.DownError
 		r.noteFailure(err, !errors.As(err, &down) || ctx.Err() != nil)
 		r.Logger.Warn("load failed", zap.Error(err))
 		sleep(ctx, delay.next(), nil)
--- a/snapshot/latest.go
+++ b/snapshot/latest.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 const (
@@ -18,8 +18,8 @@
 
 // Latest returns the state of the newest valid snapshot in the log, or nil if
 // there is none. It follows the hints of the last batches and reads the whole
-// log only if they lead nowhere. It fails with *platform.DownError.
-func Latest(ctx context.Context, l *platform.Log) (*state.State, error) {
+// log only if they lead nowhere. It fails with *stream.DownError.
+func Latest(ctx context.Context, l *stream.Log) (*state.State, error) {
 	first, end, err := l.Bounds(ctx)
 	if err != nil {
 		return nil, err
@@ -39,7 +39,7 @@
 
 // hint returns the offset from which the newest snapshot known to the last
 // batches can be read, or first.
-func hint(ctx context.Context, l *platform.Log, first, end uint64) (uint64, error) {
+func hint(ctx context.Context, l *stream.Log, first, end uint64) (uint64, error) {
 	from := first
 	if end > first+hintEntries {
 		from = end - hintEntries
@@ -67,7 +67,7 @@
 
 // scan returns the newest valid snapshot whose chunks are all within the
 // offsets, or nil.
-func scan(ctx context.Context, l *platform.Log, from, end uint64) (*state.State, error) {
+func scan(ctx context.Context, l *stream.Log, from, end uint64) (*state.State, error) {
 	var a Assembler
 	var newest *state.State
 	err := each(ctx, l, from, end, func(offset uint64, b *record.Batch) {
@@ -83,10 +83,10 @@
 
 // each calls f for the valid batches within the offsets; entries that expire
 // meanwhile are passed over.
-func each(ctx context.Context, l *platform.Log, from, end uint64, f func(uint64, *record.Batch)) error {
+func each(ctx context.Context, l *stream.Log, from, end uint64, f func(uint64, *record.Batch)) error {
 	for from < end {
 		p, err := l.Read(ctx, from, int(min(end-from, pageEntries)), 0)
-		var expired *platform.ExpiredError
+		var expired *stream.ExpiredError
 		if errors.As(err, &expired) && expired.First > from {
 			from = expired.First
 			continue
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -10,10 +10,10 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
 	"jasminelane.example/lane/standin"
 	"jasminelane.example/lane/state"
+	"jasminelane.example/lane/stream"
 )
 
 // folder appends batches to a log and folds them at once.
@@ -24,11 +24,11 @@
 	seq uint64
 }
 
-func newFolder(t testing.TB) (*folder, *platform.Log) {
+func newFolder(t testing.TB) (*folder, *stream.Log) {
 	f := &folder{t: t, log: &standin.Log{}, st: &state.State{}}
 	srv := httptest.NewServer(f.log)
 	t.Cleanup(srv.Close)
-	return f, &platform.Log{URL: srv.URL}
+	return f, &stream.Log{URL: srv.URL}
 }
 
 func (f *folder) append(snap uint64, recs ...record.Record) uint64 {
@@ -286,7 +286,7 @@
 	f.publish("x")
 	f.log.Fault(standin.LogFault{Down: ptr(true)})
 	_, err := Latest(context.Background(), l)
-	var down *platform.DownError
+	var down *stream.DownError
 	is.True(errors.As(err, &down))
 }
 
--- a/standin/directory.go
+++ b/standin/directory.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/stream"
 )
 
 // Directory is a stand-in for the platform's list of instances. The zero value
@@ -19,13 +19,13 @@
 	slow     int64
 	lag      int64
 	down     bool
-	frozen   []platform.Instance // answered while freeze is set
+	frozen   []stream.Instance // answered while freeze is set
 	freeze   bool
 }
 
 type directoryVersion struct {
 	at   time.Time
-	list []platform.Instance
+	list []stream.Instance
 }
 
 // ServeHTTP answers GET /instances, PUT /instances (the whole list) and POST
@@ -35,7 +35,7 @@
 	case "POST /fault":
 		serveFault(w, r, d.Fault)
 	case "PUT /instances":
-		var list []platform.Instance
+		var list []stream.Instance
 		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&list); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -50,7 +50,7 @@
 }
 
 // Set replaces the list, which becomes visible after the injected lag.
-func (d *Directory) Set(list []platform.Instance) {
+func (d *Directory) Set(list []stream.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.versions = append(d.versions, directoryVersion{time.Now(), slices.Clone(list)})
@@ -97,12 +97,12 @@
 }
 
 // visible returns the newest list that is older than the lag, never nil.
-func (d *Directory) visible() []platform.Instance {
+func (d *Directory) visible() []stream.Instance {
 	limit := time.Now().Add(-time.Duration(d.lag) * time.Millisecond)
 	for _, v := range slices.Backward(d.versions) {
 		if !v.at.After(limit) {
 			return v.list
 		}
 	}
-	return []platform.Instance{}
+	return []stream.Instance{}
 }
--- a/standin/log.go
+++ b/standin/log.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/record"
+	"jasminelane.example/lane/stream"
 )
 
 const (
@@ -222,8 +222,8 @@
 	}
 }
 
-func (l *Log) page(from uint64, limit int) platform.Page {
-	p := platform.Page{First: l.first, End: l.first + uint64(len(l.entries))}
+func (l *Log) page(from uint64, limit int) stream.Page {
+	p := stream.Page{First: l.first, End: l.first + uint64(len(l.entries))}
 	size := 0
 	for at := from; at < p.End && len(p.Entries) < limit; at++ {
 		data := l.entries[at-l.first].data
@@ -231,7 +231,7 @@
 		if size > maxPageBytes && len(p.Entries) > 0 {
 			break
 		}
-		p.Entries = append(p.Entries, platform.Entry{Offset: at, Data: data})
+		p.Entries = append(p.Entries, stream.Entry{Offset: at, Data: data})
 	}
 	return p
 }
--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -11,18 +11,18 @@
 
 	"github.com/matryer/is"
 
-	"jasminelane.example/lane/platform"
+	"jasminelane.example/lane/stream"
 )
 
 // startLog serves a log and returns a function that sets a fault over HTTP.
-func startLog(t *testing.T, l *Log) (*platform.Log, func(string) int) {
+func startLog(t *testing.T, l *Log) (*stream.Log, func(string) int) {
 	t.Helper()
 	srv := httptest.NewServer(l)
 	t.Cleanup(func() {
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	return &platform.Log{URL: srv.URL}, func(fault string) int { return postText(t, srv.URL+"/fault", fault) }
+	return &stream.Log{URL: srv.URL}, func(fault string) int { return postText(t, srv.URL+"/fault", fault) }
 }
 
 func postText(t *testing.T, url, body string) int {
@@ -44,13 +44,13 @@
 		entries     int // after one append
 	}{
 		{"none", `{}`, nil, 1},
-		{"down", `{"down":true}`, &platform.DownError{}, 0},
-		{"appends down", `{"noappends":true}`, &platform.DownError{}, 0},
-		{"answer lost", `{"lose":1}`, &platform.LostError{}, 1},
-		{"append lost", `{"drop":1}`, &platform.LostError{}, 0},
+		{"down", `{"down":true}`, &stream.DownError{}, 0},
+		{"appends down", `{"noappends":true}`, &stream.DownError{}, 0},
+		{"answer lost", `{"lose":1}`, &stream.LostError{}, 1},
+		{"append lost", `{"drop":1}`, &stream.LostError{}, 0},
 		{"twice", `{"twice":1}`, nil, 2},
-		{"frozen", `{"freeze":true}`, &platform.LostError{}, 0},
-		{"slow", `{"slow":10000}`, &platform.LostError{}, 0},
+		{"frozen", `{"freeze":true}`, &stream.LostError{}, 0},
+		{"slow", `{"slow":10000}`, &stream.LostError{}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -64,9 +64,9 @@
 			switch want := tt.wantErr.(type) {
 			case nil:
 				is.NoErr(err)
-			case *platform.DownError:
+			case *stream.DownError:
 				is.True(errors.As(err, &want))
-			case *platform.LostError:
+			case *stream.LostError:
 				is.True(errors.As(err, &want))
 			}
 			_, entries := store.Entries()
@@ -102,7 +102,7 @@
 	}
 	is.Equal(fault(`{"expire":3}`), http.StatusNoContent)
 	_, err := l.Read(ctx, 2, 10, 0)
-	var expired *platform.ExpiredError
+	var expired *stream.ExpiredError
 	is.True(errors.As(err, &expired))
 	is.Equal(expired.First, uint64(3))
 	is.Equal(fault(`{"expire":99}`), http.StatusNoContent)
@@ -137,7 +137,7 @@
 	is.True(time.Since(start) >= 30*time.Millisecond)
 
 	type answer struct {
-		page platform.Page
+		page stream.Page
 		err  error
 	}
 	answers := make(chan answer)
@@ -158,7 +158,7 @@
 	}()
 	is.Equal(fault(`{"down":true}`), http.StatusNoContent)
 	got = <-answers
-	var down *platform.DownError
+	var down *stream.DownError
 	is.True(errors.As(got.err, &down))
 }
 
@@ -167,7 +167,7 @@
 func TestRate(t *testing.T) {
 	is := is.New(t)
 	l, _ := startLog(t, &Log{Rate: 2})
-	var full *platform.FullError
+	var full *stream.FullError
 	start := time.Now()
 	n := 0
 	for {
@@ -202,7 +202,7 @@
 	store := &Directory{}
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
-	d := &platform.Directory{URL: srv.URL}
+	d := &stream.Directory{URL: srv.URL}
 	names := func() string {
 		list, err := d.List(ctx)
 		is.NoErr(err)
@@ -213,10 +213,10 @@
 		return out
 	}
 	is.Equal(names(), "")
-	store.Set([]platform.Instance{{Name: "a"}})
+	store.Set([]stream.Instance{{Name: "a"}})
 	is.Equal(names(), "a")
 	is.Equal(postText(t, srv.URL+"/fault", `{"freeze":true}`), http.StatusNoContent)
-	store.Set([]platform.Instance{{Name: "b"}})
+	store.Set([]stream.Instance{{Name: "b"}})
 	is.Equal(names(), "a")
 	is.Equal(postText(t, srv.URL+"/fault", `{"freeze":false}`), http.StatusNoContent)
 	is.Equal(names(), "b")
@@ -224,6 +224,6 @@
 	is.Equal(names(), "")
 	is.Equal(postText(t, srv.URL+"/fault", `{"lag":0,"down":true}`), http.StatusNoContent)
 	_, err := d.List(ctx)
-	var down *platform.DownError
+	var down *stream.DownError
 	is.True(errors.As(err, &down))
 }
--- a/platform/errors.go
+++ b/stream/errors.go
@@ -1,4 +1,4 @@
-package platform
+package stream
 
 import "fmt"
 
--- a/platform/example_test.go
+++ b/stream/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package stream_test
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 	"fmt"
 	"net/http/httptest"
 
-	"jasminelane.example/lane/platform"
 	"jasminelane.example/lane/standin"
+	"jasminelane.example/lane/stream"
 )
 
 // An entry is appended and read back; expired entries are reported as such.
@@ -15,7 +15,7 @@
 	store := &standin.Log{}
 	srv := httptest.NewServer(store)
 	defer srv.Close()
-	l := &platform.Log{URL: srv.URL}
+	l := &stream.Log{URL: srv.URL}
 	ctx := context.Background()
 
 	offset, err := l.Append(ctx, []byte("hello"))
@@ -26,7 +26,7 @@
 	expire := uint64(1)
 	store.Fault(standin.LogFault{Expire: &expire})
 	_, err = l.Read(ctx, 0, 10, 0)
-	var expired *platform.ExpiredError
+	var expired *stream.ExpiredError
 	fmt.Println(errors.As(err, &expired), err)
 	// Output:
 	// 0 <nil>
