Check generated histories of instances, log and workers; mend what they found

Requests that cannot be stored are refused at once while the log is known to be down, so that their fate is certain.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -75,7 +75,7 @@
 	quiet    bool   // never claims again
 	floor    uint64 // lowest epoch that the log may still accept a claim for
 
-	syncing sync.Mutex
+	syncing chan struct{} // holds a token while a Sync reads
 }
 
 // term is the epoch that this instance leads.
@@ -122,6 +122,7 @@
 	if f.state == nil {
 		f.state = ledger.NewState()
 		f.changed = make(chan struct{})
+		f.syncing = make(chan struct{}, 1)
 		f.lastSign = time.Now()
 	}
 	if f.Logger == nil {
@@ -338,6 +339,13 @@
 	return Status{f.caught, time.Since(f.reached), f.next, f.state.Epoch, f.state.Leader.Node}
 }
 
+// Down reports whether the last read of the log failed.
+func (f *Feed) Down() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
 // View calls g with the state under its lock; g must not keep or change it.
 func (f *Feed) View(g func(s *ledger.State)) {
 	f.mu.Lock()
@@ -361,8 +369,15 @@
 
 // Sync reads the log to its present end.
 func (f *Feed) Sync(ctx context.Context) error {
-	f.syncing.Lock()
-	defer f.syncing.Unlock()
+	f.mu.Lock()
+	f.init()
+	f.mu.Unlock()
+	select {
+	case f.syncing <- struct{}{}:
+		defer func() { <-f.syncing }()
+	case <-ctx.Done():
+		return &ReadError{ctx.Err()}
+	}
 	for {
 		n, err := f.poll(ctx, 0)
 		if err != nil {
--- /dev/null
+++ b/internal/fleet/instance/cluster_test.go
@@ -0,0 +1,276 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/intake"
+	"jasminelane.example/lane/internal/fleet/leader"
+	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/plan"
+	"jasminelane.example/lane/internal/fleet/policy"
+)
+
+const service = "press"
+
+// cluster is several instances with a log and workers in memory. It runs in a
+// synctest bubble: time passes only when all wait.
+type cluster struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	log     *fakeLog
+	workers *fakeWorkers
+	rules   *rules
+	nodes   []*node
+	ctx     context.Context
+}
+
+// node is one instance and what is done to it.
+type node struct {
+	name   string
+	inst   *Instance
+	cancel context.CancelFunc
+	dead   chan struct{}
+	frozen chan struct{} // closed when the instance may go on
+}
+
+// play runs f in a bubble with a cluster of instances and workers.
+func play(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *rules {
+	r := newRules()
+	synctest.Test(t, func(t *testing.T) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		ctx, cancel := context.WithCancel(context.Background())
+		c := &cluster{t: t, rnd: rnd, log: newFakeLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx}
+		c.workers = &fakeWorkers{
+			rnd: rand.New(rand.NewPCG(seed, 3)), list: make(map[string]*fakeWorker), rules: r, poison: make(map[string]bool),
+			lengths: func(task leader.TaskID) time.Duration {
+				return time.Duration(r.jobs[task.Job].Steps[task.Step].Estimate) * time.Millisecond
+			},
+			widths: func(task leader.TaskID) int {
+				if s := r.jobs[task.Job].Steps[task.Step]; s.Gang {
+					return s.Count
+				}
+				return 1
+			},
+		}
+		for i := range workers {
+			w := &fakeWorker{
+				id: fmt.Sprintf("w%d", i), rack: fmt.Sprintf("r%d", i/4), rate: 1 - 0.02*rnd.Float64(),
+				total: plan.Room{CPU: 8000, Memory: 8000, GPU: 8}, cut: make(map[string]bool),
+			}
+			c.workers.boot(w)
+			c.workers.list[w.id] = w
+		}
+		go c.workers.tick(ctx)
+		for i := range instances {
+			n := &node{name: fmt.Sprintf("e%d", i)}
+			c.nodes = append(c.nodes, n)
+			c.boot(n)
+		}
+		f(c)
+		cancel()
+		for _, n := range c.nodes {
+			c.kill(n)
+		}
+		time.Sleep(time.Minute) // timers of orders under way end
+	})
+	return r
+}
+
+// boot starts an incarnation of the instance.
+func (c *cluster) boot(n *node) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	dead := make(chan struct{})
+	frozen := make(chan struct{})
+	close(frozen)
+	n.cancel, n.dead, n.frozen = cancel, dead, frozen
+	// gate keeps a frozen instance's calls back and drops a dead one's.
+	gate := func(ctx context.Context) error {
+		select {
+		case <-n.frozen:
+		case <-dead:
+		}
+		select {
+		case <-dead:
+			<-ctx.Done()
+			return ctx.Err()
+		default:
+			return nil
+		}
+	}
+	log := zap.NewNop()
+	if os.Getenv("LANE_TEST_LOG") != "" {
+		log = zap.Must(zap.NewDevelopment()).Named(n.name)
+	}
+	n.inst = &Instance{
+		Settings: Settings{Node: n.name, Bounds: leader.Bounds{Lease: leaseMax, StopGrace: stopGrace, Retention: 5 * time.Minute}},
+		Logger:   log,
+		Append: func(ctx context.Context, b feed.Batch) (uint64, error) {
+			if err := gate(ctx); err != nil {
+				return 0, &feed.RefusedError{Err: err}
+			}
+			o, err := c.log.append(ctx, n.name, b)
+			_ = gate(ctx)
+			return o, err
+		},
+		Read: func(ctx context.Context, from uint64, wait time.Duration) (feed.Page, error) {
+			if err := gate(ctx); err != nil {
+				return feed.Page{}, &feed.ReadError{Err: err}
+			}
+			p, err := c.log.read(ctx, n.name, from, wait)
+			_ = gate(ctx)
+			return p, err
+		},
+		Orders: leader.Orders{
+			Start: func(ctx context.Context, t leader.Target, o leader.StartOrder) error {
+				if err := gate(ctx); err != nil {
+					return &leader.NoAnswerError{Err: err}
+				}
+				return c.workers.start(ctx, n.name, t, o)
+			},
+			Stop: func(ctx context.Context, t leader.Target, o leader.StopOrder) error {
+				if err := gate(ctx); err != nil {
+					return &leader.NoAnswerError{Err: err}
+				}
+				return c.workers.stop(ctx, n.name, t, o)
+			},
+			Sync: func(ctx context.Context, t leader.Target, o leader.SyncOrder) (leader.Report, error) {
+				if err := gate(ctx); err != nil {
+					return leader.Report{}, &leader.NoAnswerError{Err: err}
+				}
+				rep, err := c.workers.sync(ctx, n.name, t, o)
+				_ = gate(ctx)
+				return rep, err
+			},
+		},
+		WatchWorkers: func(ctx context.Context, _ *zap.Logger, enlist func([]leader.Entry)) {
+			for ctx.Err() == nil {
+				if gate(ctx) == nil {
+					enlist(c.workers.entries())
+				}
+				select {
+				case <-time.After(400 * time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+		},
+	}
+	n.inst.Wire()
+	n.inst.Policy.Set(config())
+	go func() { _ = n.inst.Feed.Run(ctx) }()
+}
+
+// kill ends the incarnation at once.
+func (c *cluster) kill(n *node) {
+	select {
+	case <-n.dead:
+		return
+	default:
+	}
+	close(n.dead)
+	n.cancel()
+}
+
+func (c *cluster) restart(n *node) {
+	c.kill(n)
+	c.boot(n)
+}
+
+// freeze stops the instance's calls for the time.
+func (c *cluster) freeze(n *node, d time.Duration) {
+	thaw := make(chan struct{})
+	n.frozen = thaw
+	time.AfterFunc(d, func() { close(thaw) })
+}
+
+// leader returns the instance that leads, or nil.
+func (c *cluster) leader() *node {
+	for _, n := range c.nodes {
+		select {
+		case <-n.dead:
+			continue
+		default:
+		}
+		if n.inst.Feed.Leading() {
+			return n
+		}
+	}
+	return nil
+}
+
+// submit hands a job in at an instance and repeats it like a caller until its
+// fate is known.
+func (c *cluster) submit(n *node, j ledger.Job) bool {
+	c.workers.set(func() {
+		j.Attempts = config().Routes[0].Attempts
+		c.rules.jobs[j.ID] = j
+	})
+	for range 40 {
+		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+		a := n.inst.Intake.Submit(ctx, config().Route("lane", "/j/"), "schools", j)
+		cancel()
+		if a.Fate == intake.Accepted {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+		n = c.nodes[c.rnd.IntN(len(c.nodes))]
+	}
+	return false
+}
+
+// cancel asks an instance to cancel a job and returns the fate of that.
+func (c *cluster) cancel(n *node, id string) string {
+	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+	defer cancel()
+	return n.inst.Intake.Cancel(ctx, id).Fate.String()
+}
+
+// phase asks an instance for a job's phase.
+func (c *cluster) phase(n *node, id string) ledger.Phase {
+	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+	defer cancel()
+	p, _ := n.inst.Intake.Phase(ctx, id)
+	return p
+}
+
+// finish waits until all jobs have ended on all instances and returns those
+// that have not.
+func (c *cluster) finish(ids []string, limit time.Duration) []string {
+	end := time.Now().Add(limit)
+	for {
+		var open []string
+		for _, id := range ids {
+			for _, n := range c.nodes {
+				if p := c.phase(n, id); !p.Final() {
+					open = append(open, fmt.Sprintf("%s is %q on %s", id, p, n.name))
+				}
+			}
+		}
+		if len(open) == 0 || time.Now().After(end) {
+			return open
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func config() *policy.Config {
+	return &policy.Config{
+		Version:  1,
+		Routes:   []policy.Route{{Name: "jobs", Host: "lane", Prefix: "/j/", Service: service, Priority: 1, Attempts: 3, Stretch: 3, Target: 1000}},
+		Services: map[string]policy.Service{service: {Name: service}},
+		Accounts: map[string]policy.Account{"schools": {Name: "schools", GPUs: 16}},
+	}
+}
+
+// job returns a job with one step.
+func job(id string, s ledger.Step) ledger.Job {
+	return ledger.Job{ID: id, Spec: "spec of " + id, Steps: []ledger.Step{s}}
+}
--- /dev/null
+++ b/internal/fleet/instance/history_test.go
@@ -0,0 +1,292 @@
+package instance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+var (
+	histories = flag.Int("histories", 150, "generated histories to check")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first history")
+)
+
+// Guards against any combination of faults that breaks a promise: generated
+// histories of instances, log and workers, each with kills, freezes, cuts,
+// outages, lost and late answers, crashes, failing tasks and cancellations. A
+// larger check by hand:
+//
+//	go test ./internal/fleet/instance -run TestHistories -histories 10000
+func TestHistories(t *testing.T) {
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			for _, b := range checkHistory(t, seed) {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// checkHistory plays one history and returns the promises that were broken.
+func checkHistory(t *testing.T, seed uint64) []string {
+	var open []string
+	r := play(t, seed, 3, 8, func(c *cluster) {
+		h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 4)), accepted: make(map[string]bool)}
+		time.Sleep(time.Duration(h.rnd.IntN(2000)) * time.Millisecond)
+		h.faults()
+		h.load()
+		h.heal()
+		open = h.settle()
+	})
+	return append(r.broken, open...)
+}
+
+// history generates the load and the faults of one history.
+type history struct {
+	c        *cluster
+	rnd      *rand.Rand
+	accepted map[string]bool
+	ids      []string
+	pending  chan struct{}
+}
+
+// historySpan is the time in which faults strike.
+const historySpan = 20 * time.Second
+
+func (h *history) after(d time.Duration, f func()) {
+	time.AfterFunc(d, func() {
+		select {
+		case <-h.c.ctx.Done():
+		default:
+			f()
+		}
+	})
+}
+
+func (h *history) moment() time.Duration { return time.Duration(h.rnd.Int64N(int64(historySpan))) }
+
+func (h *history) span() time.Duration {
+	return 500*time.Millisecond + time.Duration(h.rnd.Int64N(int64(9*time.Second)))
+}
+
+// faults draws up to five faults, each at a moment of its own.
+func (h *history) faults() {
+	for range h.rnd.IntN(6) {
+		at, span := h.moment(), h.span()
+		n := h.c.nodes[h.rnd.IntN(len(h.c.nodes))]
+		worker := fmt.Sprintf("w%d", h.rnd.IntN(8))
+		share := 0.05 + 0.4*h.rnd.Float64()
+		oneWay := h.rnd.IntN(2) == 0
+		lead := h.rnd.IntN(2) == 0
+		target := func() *node {
+			if l := h.c.leader(); lead && l != nil {
+				return l
+			}
+			return n
+		}
+		switch kind := h.rnd.IntN(13); kind {
+		case 0:
+			h.after(at, func() { h.c.restart(target()) })
+		case 1:
+			h.after(at, func() { h.c.freeze(target(), span) })
+		case 2:
+			h.after(at, func() {
+				n := target()
+				h.c.log.set(func(l *fakeLog) { l.cut[n.name] = true })
+				h.after(span, func() { h.c.log.set(func(l *fakeLog) { l.cut[n.name] = false }) })
+			})
+		case 3:
+			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.refusing = on }) })
+		case 4:
+			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.silent = on }) })
+		case 5:
+			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.lose = share * value(on) }) })
+		case 6:
+			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.late = share * value(on) }) })
+		case 7:
+			h.after(at, func() { h.c.workers.crash(worker) })
+			h.after(at+span, func() { h.c.workers.reboot(worker) })
+		case 8:
+			h.during(at, span, func(on bool) {
+				h.c.workers.set(func() {
+					w := h.c.workers.list[worker]
+					w.oneWay = oneWay
+					for _, n := range h.c.nodes {
+						w.cut[n.name] = on
+					}
+				})
+			})
+		case 9:
+			h.after(at, func() {
+				name := target().name
+				cut := func(on bool) {
+					h.c.workers.set(func() {
+						for _, w := range h.c.workers.list {
+							w.cut[name] = on
+						}
+					})
+				}
+				cut(true)
+				h.after(span, func() { cut(false) })
+			})
+		case 10:
+			h.during(at, span, func(on bool) { h.c.workers.set(func() { h.c.workers.late = share * value(on) }) })
+		case 11:
+			h.during(at, span, func(on bool) { h.c.workers.set(func() { h.c.workers.lose = share * value(on) }) })
+		case 12:
+			h.after(at, func() {
+				for _, n := range h.c.nodes {
+					h.c.restart(n)
+				}
+			})
+		}
+	}
+	if h.rnd.IntN(3) == 0 {
+		h.c.workers.set(func() { h.c.workers.flaky = 0.1 })
+	}
+}
+
+func (h *history) during(at, span time.Duration, f func(on bool)) {
+	h.after(at, func() { f(true) })
+	h.after(at+span, func() { f(false) })
+}
+
+func value(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+// load submits jobs of all kinds and cancels some.
+func (h *history) load() {
+	n := 6 + h.rnd.IntN(14)
+	h.pending = make(chan struct{}, n)
+	for i := range n {
+		j := h.job(fmt.Sprintf("job%d", i))
+		at, cancel := h.moment(), h.rnd.IntN(5) == 0
+		cancelAt := time.Duration(h.rnd.IntN(5000)) * time.Millisecond
+		from := h.c.nodes[h.rnd.IntN(len(h.c.nodes))]
+		h.ids = append(h.ids, j.ID)
+		go func() {
+			defer func() { h.pending <- struct{}{} }()
+			time.Sleep(at)
+			ok := h.c.submit(from, j)
+			h.c.workers.set(func() { h.accepted[j.ID] = ok })
+			if ok && cancel {
+				time.Sleep(cancelAt)
+				h.cancel(j.ID)
+			}
+		}()
+	}
+	time.Sleep(historySpan + 11*time.Second) // until the last fault has ended
+}
+
+func (h *history) cancel(id string) {
+	for range 20 {
+		n := h.c.nodes[len(id)%len(h.c.nodes)]
+		switch h.c.cancel(n, id) {
+		case "accepted":
+			at := time.Now()
+			h.c.workers.set(func() { h.c.rules.cancelled[id] = at })
+			return
+		case "gone":
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// job draws a job.
+func (h *history) job(id string) ledger.Job {
+	j := ledger.Job{ID: id, Spec: "spec of " + id}
+	for i := range 1 + h.rnd.IntN(2) {
+		s := ledger.Step{
+			Count: 1 + h.rnd.IntN(6), CPU: 500, Memory: 100, GPU: int64(1) << h.rnd.IntN(4),
+			Estimate: int64(200 + h.rnd.IntN(4000)), Gang: h.rnd.IntN(2) == 0, SameRack: h.rnd.IntN(2) == 0,
+			Checkpointable: h.rnd.IntN(2) == 0,
+		}
+		if i > 0 {
+			s.After = []int{0}
+		}
+		if !s.Gang && h.rnd.IntN(3) == 0 {
+			s.Apart = 1
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	if h.rnd.IntN(6) == 0 {
+		j.Times, j.Period = 2, 1500
+		j.First = time.Now().UnixMilli() + int64(h.rnd.IntN(8000))
+	}
+	return j
+}
+
+// heal ends all faults.
+func (h *history) heal() {
+	h.c.log.set(func(l *fakeLog) {
+		l.refusing, l.silent, l.lose, l.late = false, false, 0, 0
+		clear(l.cut)
+	})
+	h.c.workers.set(func() {
+		h.c.workers.late, h.c.workers.lose = 0, 0
+		for _, w := range h.c.workers.list {
+			clear(w.cut)
+			if w.down {
+				h.c.workers.boot(w)
+			}
+		}
+	})
+}
+
+// settle waits for all jobs to end and returns what is then not as promised.
+func (h *history) settle() []string {
+	for range h.ids {
+		<-h.pending
+	}
+	var ids, wrong []string
+	for _, id := range h.ids {
+		if h.accepted[id] {
+			ids = append(ids, id)
+		}
+	}
+	for _, s := range h.c.finish(ids, 90*time.Second) {
+		wrong = append(wrong, "LOST: "+s)
+	}
+	time.Sleep(8 * time.Second) // leases of unreachable runs have ended, stops are done
+	h.c.workers.set(func() {
+		for _, w := range h.c.workers.list {
+			for task := range w.runs {
+				wrong = append(wrong, fmt.Sprintf("UNASKED: %v still runs on %s", task, w.id))
+			}
+			if len(w.ended) > 0 {
+				wrong = append(wrong, fmt.Sprintf("Acks: %d ends on %s", len(w.ended), w.id))
+			}
+		}
+	})
+	for _, id := range ids {
+		if p := h.c.phase(h.c.nodes[0], id); p == ledger.Finished {
+			wrong = append(wrong, h.unfinished(id)...)
+		}
+	}
+	return wrong
+}
+
+// unfinished returns the tasks of a job shown as done that did not end so.
+func (h *history) unfinished(id string) []string {
+	var wrong []string
+	j := h.c.rules.jobs[id]
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			if !h.c.rules.stepDone(j, k, i) {
+				wrong = append(wrong, fmt.Sprintf("MIXED: %s is shown as done, step %d of occurrence %d is not", id, i, k))
+			}
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/fleet/instance/path_test.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// Guards against a path that does not start, end or show a job of each kind.
+func TestJobsEnd(t *testing.T) {
+	tests := []struct {
+		name string
+		job  ledger.Job
+	}{
+		{"one task", job("a", ledger.Step{Count: 1, CPU: 100, GPU: 1, Estimate: 500})},
+		{"tasks", job("b", ledger.Step{Count: 30, CPU: 100, GPU: 1, Estimate: 700})},
+		{"gang", job("c", ledger.Step{Count: 4, CPU: 100, GPU: 8, Estimate: 700, Gang: true, SameRack: true})},
+		{"apart", job("d", ledger.Step{Count: 4, CPU: 100, GPU: 1, Estimate: 300, Apart: 1})},
+		{"steps", ledger.Job{ID: "e", Spec: "spec", Steps: []ledger.Step{
+			{Count: 2, GPU: 1, Estimate: 300}, {Count: 2, GPU: 1, Estimate: 300, After: []int{0}, Gang: true}, {Count: 1, GPU: 1, Estimate: 200, After: []int{0, 1}},
+		}}},
+		{"occurrences", ledger.Job{ID: "f", Spec: "spec", Times: 3, Period: 900, First: 946684803000, Steps: []ledger.Step{{Count: 1, GPU: 1, Estimate: 200}}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := play(t, 1, 3, 8, func(c *cluster) {
+				time.Sleep(2 * time.Second)
+				is.True(c.submit(c.nodes[1], tt.job))
+				is.Equal(c.finish([]string{tt.job.ID}, 20*time.Second), nil)
+				is.Equal(c.phase(c.nodes[2], tt.job.ID), ledger.Finished)
+			})
+			is.Equal(r.broken, nil)
+			is.Equal(r.alone, nil)
+		})
+	}
+}
+
+// Guards against a job that goes on after its caller was told that it is
+// cancelled.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	r := play(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 4, GPU: 1, Estimate: 60000})))
+		time.Sleep(time.Second)
+		is.Equal(c.nodes[1].inst.Intake.Cancel(c.ctx, "a").Fate.String(), "accepted")
+		time.Sleep(time.Second)
+		c.workers.set(func() {
+			for _, w := range c.workers.list {
+				is.Equal(len(w.runs), 0)
+			}
+		})
+		is.Equal(c.phase(c.nodes[2], "a"), ledger.Cancelled)
+		is.Equal(c.nodes[1].inst.Intake.Cancel(c.ctx, "never").Fate.String(), "gone")
+	})
+	is.Equal(r.broken, nil)
+}
+
+// Guards against running work that a new leader starts anew, or lets lapse,
+// instead of taking it over.
+func TestTakeover(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(c *cluster, lead *node)
+	}{
+		{"killed", func(c *cluster, lead *node) { c.kill(lead) }},
+		{"restarted", func(c *cluster, lead *node) { c.restart(lead) }},
+		{"frozen", func(c *cluster, lead *node) { c.freeze(lead, 5*time.Second) }},
+		{"cut from the log", func(c *cluster, lead *node) {
+			c.log.set(func(l *fakeLog) { l.cut[lead.name] = true })
+			time.AfterFunc(5*time.Second, func() { c.log.set(func(l *fakeLog) { l.cut[lead.name] = false }) })
+		}},
+		{"all restarted", func(c *cluster, _ *node) {
+			for _, n := range c.nodes {
+				c.restart(n)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			starts := 0
+			r := play(t, 1, 3, 4, func(c *cluster) {
+				time.Sleep(2 * time.Second)
+				is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 8, GPU: 1, Estimate: 9000})))
+				time.Sleep(time.Second)
+				lead := c.leader()
+				is.True(lead != nil)
+				tt.strike(c, lead)
+				time.Sleep(6 * time.Second)
+				if tt.name == "killed" {
+					c.boot(lead)
+				}
+				is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
+				c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+					for _, u := range s.Jobs["a"].Units {
+						starts += u.Run
+					}
+				})
+			})
+			is.Equal(r.broken, nil)
+			is.Equal(starts, 8) // one run of each task
+		})
+	}
+}
+
+// Guards against runs that lapse while the log is away but the leader lives.
+func TestLogOutageKeepsLeases(t *testing.T) {
+	is := is.New(t)
+	r := play(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 8, GPU: 1, Estimate: 12000})))
+		time.Sleep(time.Second)
+		c.log.set(func(l *fakeLog) { l.refusing = true })
+		time.Sleep(9 * time.Second)
+		c.log.set(func(l *fakeLog) { l.refusing = false })
+		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
+		c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+			for _, u := range s.Jobs["a"].Units {
+				is.Equal(u.Run, 1)
+			}
+		})
+	})
+	is.Equal(r.broken, nil)
+}
+
+// Guards against a task that runs on a worker beyond reach while another run
+// of it starts elsewhere.
+func TestUnreachableWorker(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		is := is.New(t)
+		r := play(t, 1, 3, 4, func(c *cluster) {
+			time.Sleep(2 * time.Second)
+			is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 2, GPU: 8, Estimate: 20000, Gang: true})))
+			time.Sleep(time.Second)
+			c.workers.set(func() {
+				for _, w := range c.workers.list {
+					if len(w.runs) > 0 {
+						w.oneWay = oneWay
+						for _, n := range c.nodes {
+							w.cut[n.name] = true
+						}
+						break
+					}
+				}
+			})
+			is.Equal(c.finish([]string{"a"}, 60*time.Second), nil)
+		})
+		is.Equal(r.broken, nil)
+	}
+}
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -56,6 +56,12 @@
 	RetryAfter time.Duration // when a request that was not run may come again
 }
 
+// DownError reports that the log cannot be read at present.
+type DownError struct{}
+
+// Error says so.
+func (*DownError) Error() string { return "log unavailable" }
+
 // Intake serves callers from one instance's copy of the ledger. The exported
 // fields are set before use.
 type Intake struct {
@@ -162,6 +168,12 @@
 		if n.view(known) {
 			return Answer{Fate: Accepted, Cause: "known"}
 		}
+		if n.Feed.Down() {
+			// Sent now, the request's fate might be unknown; unsent, it is
+			// certain and the caller may try another instance.
+			cause = &DownError{}
+			break
+		}
 		attempt, stop := context.WithTimeout(ctx, tryTimeout)
 		err := n.Feed.Write(attempt, r)
 		stop()
@@ -170,13 +182,16 @@
 		}
 		cause = err
 		var lost *feed.UncertainError
-		uncertain = uncertain || errors.As(err, &lost)
-		if ctx.Err() != nil {
-			break
-		}
-		if lost == nil {
+		if errors.As(err, &lost) {
+			uncertain = true
+			// The records that can be read now tell whether it was stored.
+			err = n.Feed.Sync(ctx)
+		} else {
 			pause(ctx, retryPause)
 		}
+		if ctx.Err() != nil || err != nil && uncertain {
+			break
+		}
 	}
 	switch {
 	case n.view(known):
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -37,12 +37,14 @@
 		}
 		looked := w.looked
 		t := l.target(w)
-		o.Until = w.until(l.Bounds.Lease)
-		l.mu.Unlock()
 		if !looked {
+			l.mu.Unlock()
 			pause(l.ctx, failPause)
 			continue
 		}
+		o.Until = w.until(l.Bounds.Lease)
+		n.sent = true
+		l.mu.Unlock()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		err := l.Orders.Start(ctx, t, o)
 		cancel()
@@ -114,6 +116,12 @@
 		return
 	}
 	n.stopping = true
+	if !n.sent && !n.inherited {
+		l.Logger.Info("start withdrawn", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
+		r := l.end(n, ledger.Stopped, n.saved, time.Now())
+		go l.Feed.Propose(l.Epoch, r)
+		return
+	}
 	l.Logger.Info("stop", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
 	go l.deliverStop(w, n)
 }
@@ -144,16 +152,37 @@
 		return false
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	// From now on a report without the run proves that it is not there and
-	// never will be.
-	if n.accepted.IsZero() {
+	unsure := n.accepted.IsZero()
+	if unsure {
+		// From now on a report without the run proves that it is not there
+		// and never will be.
 		n.accepted = time.Now()
 	}
-	w.kick()
+	l.mu.Unlock()
+	if unsure {
+		l.look(w)
+	}
 	return true
 }
 
+// look asks for a report at once, beside the session's exchange, which may
+// wait for a run to end.
+func (l *Leader) look(w *worker) {
+	l.mu.Lock()
+	t := l.target(w)
+	ack := w.ack()
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	rep, err := l.Orders.Sync(ctx, t, SyncOrder{Ack: ack})
+	if err != nil {
+		w.kick() // the session tries again
+		return
+	}
+	l.takeIn(w, rep, sent, ack)
+}
+
 // stopStray stops a run that is not in the state.
 func (l *Leader) stopStray(w *worker, key runKey) {
 	l.mu.Lock()
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -46,17 +46,19 @@
 
 // run is a run that is, or may be, on a worker.
 type run struct {
-	key      runKey
-	unit     ledger.UnitID
-	member   int
-	start    time.Time
-	accepted time.Time // the worker's answer; zero while unknown
-	seen     bool      // listed as running
-	saved    string
-	percent  float64
-	savedAt  float64 // percent at the newest checkpoint
-	stopping bool
-	ending   bool // its end is proposed
+	key       runKey
+	unit      ledger.UnitID
+	member    int
+	start     time.Time
+	sent      bool      // the order may have left
+	inherited bool      // ordered by an earlier leader
+	accepted  time.Time // the worker's answer; zero while unknown
+	seen      bool      // listed as running
+	saved     string
+	percent   float64
+	savedAt   float64 // percent at the newest checkpoint
+	stopping  bool
+	ending    bool // its end is proposed
 }
 
 // Init prepares the leader from the state; it is called with the feed's lock
@@ -90,6 +92,7 @@
 		w := l.worker(m.Worker)
 		r := newRun(js, u, i)
 		r.accepted = l.began
+		r.inherited = true
 		r.saved = u.Saved
 		w.runs[r.key] = r
 	}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -14,6 +14,10 @@
 	// planPause gathers events between two rounds of planning.
 	planPause = 15 * time.Millisecond
 
+	// planShare bounds the part of the time that planning takes: a round is
+	// followed by a pause that is longer by this factor.
+	planShare = 3
+
 	// planPeriod is the longest time between two rounds.
 	planPeriod = 250 * time.Millisecond
 
@@ -37,8 +41,9 @@
 // planLoop plans after each event until the epoch ends.
 func (l *Leader) planLoop() {
 	for l.ctx.Err() == nil {
+		began := time.Now()
 		l.plan()
-		pause(l.ctx, planPause)
+		pause(l.ctx, max(planPause, planShare*time.Since(began)))
 		t := time.NewTimer(planPeriod)
 		select {
 		case <-l.wake:
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -16,6 +16,10 @@
 	// guarantee, in ms.
 	sureFarWait = 600
 
+	// avoidWait bounds the wait for workers on which a unit has not failed, in
+	// ms.
+	avoidWait = 2000
+
 	// maxTried bounds the units that one round tries to place.
 	maxTried = 400
 )
@@ -29,6 +33,9 @@
 	held    map[ledger.UnitID]Hold
 	out     Output
 	stopped map[ledger.UnitID]bool
+
+	on        map[string][]*Running // by worker, the cheapest to stop first; nil until needed
+	returning map[string]Room       // by worker, of units that are being stopped
 }
 
 // Decide places waiting units in the order of their urgency.
@@ -112,6 +119,7 @@
 // place starts the unit, or makes room for it, and reports whether its step's
 // other tasks should be tried as well.
 func (r *round) place(u *Waiting) bool {
+	r.relent(u)
 	if h, ok := r.held[u.ID]; ok {
 		r.keep(h, -1)
 		if r.fits(u, h.Workers) {
@@ -131,6 +139,14 @@
 	return false
 }
 
+// relent lets the unit back onto workers on which it failed if the others
+// could not hold it, or have not for long.
+func (r *round) relent(u *Waiting) {
+	if len(u.Avoid) > 0 && (r.in.Now-u.Since > avoidWait || r.capacity(u, r.in.Workers, true) < u.Width) {
+		u.Avoid = nil
+	}
+}
+
 func (r *round) fits(u *Waiting, workers []string) bool {
 	count := make(map[string]int64)
 	for _, id := range workers {
