--- a/internal/fleet/feed/commit.go
+++ b/internal/fleet/feed/commit.go
@@ -15,10 +15,6 @@
 	// is alive; several fit into the silence after which others claim.
 	beatPeriod = 400 * time.Millisecond
 
-	// appendTimeout bounds one try; a try without answer is repeated with the
-	// same number, which has no second effect.
-	appendTimeout = 800 * time.Millisecond
-
 	maxBatchRecords = 500
 	maxBatchBytes   = 512 << 10
 
@@ -99,9 +95,9 @@
 func (f *Feed) commit(ctx context.Context, t *term, seq uint64, records [][]byte) bool {
 	backoff := minBackoff
 	for try := 1; ctx.Err() == nil; try++ {
-		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := f.Append(attempt, Batch{Records: records, Epoch: t.epoch, Seq: seq})
-		cancel()
+		// A try without answer is repeated with the same number, which has no
+		// second effect.
+		offset, err := f.attempt(ctx, Batch{Records: records, Epoch: t.epoch, Seq: seq})
 		var fenced *FencedError
 		switch {
 		case err == nil:
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -75,7 +75,8 @@
 	quiet    bool   // never claims again
 	floor    uint64 // lowest epoch that the log may still accept a claim for
 
-	syncing chan struct{} // holds a token while a Sync reads
+	patience patience
+	syncing  chan struct{} // holds a token while a Sync reads
 }
 
 // term is the epoch that this instance leads.
@@ -396,7 +397,7 @@
 	if err != nil {
 		return err
 	}
-	offset, err := f.Append(ctx, Batch{Records: [][]byte{data}})
+	offset, err := f.attempt(ctx, Batch{Records: [][]byte{data}})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// tryTimeout bounds one append; a log that loses an answer is asked again,
-	// since a repeated submission has no second effect.
-	tryTimeout = 700 * time.Millisecond
-
 	// retryPause separates appends that the log refused.
 	retryPause = 150 * time.Millisecond
 
@@ -27,7 +23,7 @@
 	defaultTime = 3 * time.Second
 
 	// maxTries bounds the appends for one request.
-	maxTries = 4
+	maxTries = 6
 
 	// retryAfter is when callers may return if the log is not available.
 	retryAfter = time.Second
@@ -174,9 +170,7 @@
 			cause = &DownError{}
 			break
 		}
-		attempt, stop := context.WithTimeout(ctx, tryTimeout)
-		err := n.Feed.Write(attempt, r)
-		stop()
+		err := n.Feed.Write(ctx, r)
 		if err == nil {
 			return Answer{Fate: Accepted}
 		}
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -13,10 +13,10 @@
 const (
 	// syncWait is how long a worker may hold a sync back until a run ends; it
 	// is the period of renewal, several of which fit into a lease.
-	syncWait = 1500 * time.Millisecond
+	syncWait = 800 * time.Millisecond
 
 	// syncTimeout bounds the rest of a sync.
-	syncTimeout = 700 * time.Millisecond
+	syncTimeout = 400 * time.Millisecond
 
 	// idleSync separates the syncs of a worker without runs.
 	idleSync = 4 * time.Second
