Bound how long an uninformed leader renews leases; hand over when cut off

Ruled out: stopping renewals as soon as the log is away; every outage beyond the lease would then end all work.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -72,8 +72,9 @@
 	changed  chan struct{}
 	lead     *term
 	forgot   time.Time
-	quiet    bool   // never claims again
-	floor    uint64 // lowest epoch that the log may still accept a claim for
+	quiet    bool      // never claims again
+	yielded  time.Time // until then others should lead
+	floor    uint64    // lowest epoch that the log may still accept a claim for
 
 	patience patience
 	syncing  chan struct{} // holds a token while a Sync reads
@@ -217,8 +218,11 @@
 		return
 	}
 	took := f.state.Apply(offset, r)
-	if r.Claim != nil && took {
+	switch {
+	case r.Claim != nil && took:
 		f.elected(*r.Claim)
+	case r.Resign != nil && took:
+		f.resigned(r.Resign.Epoch)
 	}
 	if f.OnApply != nil {
 		f.OnApply(f.state, r, took)
@@ -246,6 +250,16 @@
 	}
 }
 
+// resigned ends this instance's term if it is the one that was handed over; it
+// is called with the lock held.
+func (f *Feed) resigned(epoch uint64) {
+	if f.lead != nil && f.lead.epoch == epoch {
+		f.Logger.Info("leadership ended", zap.Uint64("epoch", epoch), zap.String("cause", "resigned"))
+		f.lead.cancel()
+		f.lead = nil
+	}
+}
+
 // shouldClaim reports whether the leader has gone.
 func (f *Feed) shouldClaim(jitter time.Duration) bool {
 	f.mu.Lock()
@@ -253,6 +267,9 @@
 	if !f.caught || f.failing || f.lead != nil || f.quiet {
 		return false
 	}
+	if time.Now().Before(f.yielded) {
+		return false
+	}
 	since := time.Since(f.lastSign)
 	if f.state.Vacant {
 		return since > jitter/4
@@ -440,6 +457,14 @@
 	f.stepDown("resigned")
 }
 
+// Yield hands the leadership of the epoch over and claims none for the time.
+func (f *Feed) Yield(epoch uint64, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.yielded = time.Now().Add(pause)
+	f.ProposeLocked(epoch, ledger.Record{Resign: &ledger.Beat{Epoch: epoch}})
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -75,12 +75,14 @@
 			c.nodes = append(c.nodes, n)
 			c.boot(n)
 		}
+		defer func() {
+			cancel()
+			for _, n := range c.nodes {
+				c.kill(n)
+			}
+			time.Sleep(time.Minute) // timers of orders under way end
+		}()
 		f(c)
-		cancel()
-		for _, n := range c.nodes {
-			c.kill(n)
-		}
-		time.Sleep(time.Minute) // timers of orders under way end
 	})
 	return r
 }
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -147,17 +147,17 @@
 	var g run.Group
 	g.Add(func() error { return n.Feed.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { n.WatchConfig(ctx, n.Policy, n.Logger); return ctx.Err() }, func(error) { cancel() })
-	callers, err := n.listen(&g, n.Settings.Callers, n.CallersOn(n))
+	callers, err := n.listen(ctx, &g, n.Settings.Callers, n.CallersOn(n))
 	if err != nil {
 		return err
 	}
-	if _, err := n.listen(&g, n.Settings.Ready, n.ReadyOn(n)); err != nil {
+	if _, err := n.listen(ctx, &g, n.Settings.Ready, n.ReadyOn(n)); err != nil {
 		return err
 	}
 	if n.Settings.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", n.Metrics)
-		if _, err := n.listen(&g, n.Settings.Metrics, mux); err != nil {
+		if _, err := n.listen(ctx, &g, n.Settings.Metrics, mux); err != nil {
 			n.Logger.Warn("metrics not served", zap.Error(err))
 		}
 	}
@@ -179,7 +179,7 @@
 // Error says that the instance has drained.
 func (*DrainedError) Error() string { return "drained" }
 
-func (n *Instance) listen(g *run.Group, addr string, h http.Handler) (*http.Server, error) {
+func (n *Instance) listen(ctx context.Context, g *run.Group, addr string, h http.Handler) (*http.Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &ListenError{addr, err}
@@ -188,7 +188,7 @@
 	g.Add(func() error {
 		err := srv.Serve(ln)
 		if errors.Is(err, http.ErrServerClosed) {
-			<-make(chan struct{}) // the shutdown ends the group
+			<-ctx.Done() // the end of the drain ends the group
 		}
 		return err
 	}, func(error) { srv.Close() })
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -153,3 +153,28 @@
 		is.Equal(r.broken, nil)
 	}
 }
+
+// Guards against running work that lapses because the leader reaches the log
+// but no worker, while other instances reach both.
+func TestLeaderCutFromWorkers(t *testing.T) {
+	is := is.New(t)
+	r := play(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 8, GPU: 4, Estimate: 9000})))
+		time.Sleep(time.Second)
+		lead := c.leader()
+		c.workers.set(func() {
+			for _, w := range c.workers.list {
+				w.cut[lead.name] = true
+			}
+		})
+		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
+		is.True(c.leader() != lead)
+		c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+			for _, u := range s.Jobs["a"].Units {
+				is.Equal(u.Run, 1)
+			}
+		})
+	})
+	is.Equal(r.broken, nil)
+}
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -120,8 +120,8 @@
 }
 
 // inheritedLease is how long runs may live on a worker that this leader cannot
-// reach: an earlier leader may have renewed their lease until it learned of
-// the new epoch.
+// reach: an earlier leader may renew their lease until it learns of the new
+// epoch from the log or from a worker.
 func (l *Leader) inheritedLease() time.Duration {
 	return leaseBound(l.Bounds.Lease) + unawareLeader
 }
@@ -130,6 +130,7 @@
 func (l *Leader) Run() {
 	l.Logger.Info("leader started", zap.Uint64("epoch", l.Epoch), zap.Int("workers", len(l.workers)))
 	go l.carryLoop()
+	go l.reachLoop()
 	l.planLoop()
 	l.Logger.Info("leader ended", zap.Uint64("epoch", l.Epoch))
 }
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -90,11 +90,14 @@
 
 // sync makes one exchange with the worker.
 func (l *Leader) sync(w *worker, ok bool) bool {
+	confirmed := l.confirmed()
 	l.mu.Lock()
 	t := l.target(w)
 	o := SyncOrder{Ack: w.ack()}
 	if w.looked && ok && len(w.runs) > 0 {
-		o.Until = w.until(l.Bounds.Lease)
+		if confirmed {
+			o.Until = w.until(l.Bounds.Lease)
+		}
 		if !w.unstored() {
 			o.Wait = syncWait
 		}
@@ -112,6 +115,13 @@
 	return true
 }
 
+// confirmed reports whether the log was read lately enough to renew leases: a
+// later leader waits that long before it takes the runs of workers that it
+// cannot reach for lost.
+func (l *Leader) confirmed() bool {
+	return l.Feed.Status().Age < unawareLeader
+}
+
 func (l *Leader) target(w *worker) Target {
 	return Target{ID: w.id, Addr: w.entry.Addr, Epoch: l.Epoch}
 }
@@ -126,6 +136,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	w.silent = true
 	if first {
 		l.Logger.Info("worker not answering", zap.String("worker", w.id), zap.Int("runs", len(w.runs)), zap.Duration("lease", time.Until(w.lapse)), zap.Error(err))
 	}
@@ -146,8 +157,11 @@
 	w.born = rep.Born
 	if !w.looked {
 		w.looked = true
+		// The worker refuses earlier leaders' renewals from now on.
+		w.lapse = now.Add(leaseBound(l.Bounds.Lease))
 		l.poke()
 	}
+	w.silent = false
 	w.clock, w.clockAt, w.lastOK = rep.Clock, now, now
 	w.prune(acked)
 	present := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
@@ -170,7 +184,9 @@
 		}
 	}
 	for key, n := range w.runs {
-		if !present[key] && !n.ending && (reborn || !n.accepted.IsZero() && n.accepted.Before(sent)) {
+		// A report that was asked for before the worker accepted the run may be
+		// older than the run, also when the worker has restarted in between.
+		if !present[key] && !n.ending && !n.accepted.IsZero() && n.accepted.Before(sent) {
 			records = append(records, l.end(n, ledger.Lost, n.saved, now))
 			l.Logger.Info("run lost", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", key.run), zap.Bool("restarted", reborn))
 		}
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -13,9 +13,10 @@
 	// leaseMargin covers the time between reading a clock and using it.
 	leaseMargin = 200 * time.Millisecond
 
-	// unawareLeader is how long a leader that lost its epoch may go on renewing
-	// leases: its next sync with any worker that knows the new epoch ends it.
-	unawareLeader = 2 * time.Second
+	// unawareLeader is how long a leader that cannot read the log goes on
+	// renewing leases. It bridges outages of the log; a new leader adds it to
+	// the lease of workers that it has never reached.
+	unawareLeader = 10 * time.Second
 
 	// renewSilence is how long a worker may fail to answer before its lease is
 	// no longer extended, so that its runs certainly end.
@@ -41,6 +42,7 @@
 	entry  Entry
 	listed bool
 
+	silent  bool  // did not answer the last sync
 	looked  bool  // has answered in this epoch
 	born    int64 // incarnation that answered
 	clock   int64 // its clock, ms, at clockAt
--- /dev/null
+++ b/internal/fleet/leader/worker_test.go
@@ -0,0 +1,71 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+func testLeader() *Leader {
+	l := &Leader{Epoch: 1, Feed: &feed.Feed{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no sessions
+	l.Init(ctx, ledger.NewState(), nil)
+	return l
+}
+
+// Guards against a run that is taken for lost by a report of its worker that
+// is older than the run: a worker that restarted reports its new incarnation,
+// and a run that this incarnation accepted meanwhile went on beside a second
+// one (history 10734 of package instance).
+func TestReportOlderThanRun(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name     string
+		accepted time.Time
+		sent     time.Time
+		lost     bool
+	}{
+		{"accepted before the report was asked for", now.Add(-2 * time.Second), now.Add(-time.Second), true},
+		{"accepted after the report was asked for", now.Add(-time.Second), now.Add(-2 * time.Second), false},
+		{"not accepted", time.Time{}, now, false},
+	}
+	for _, tt := range tests {
+		for _, born := range []int64{1, 2} {
+			is := is.New(t)
+			l := testLeader()
+			w := newWorker("w0", now)
+			w.looked, w.born = true, 1
+			n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, accepted: tt.accepted}
+			w.runs[n.key] = n
+			l.takeIn(w, Report{Clock: 5, Born: born}, tt.sent, 0)
+			is.Equal(n.ending, tt.lost) // tt.name
+		}
+	}
+}
+
+// Guards against an acknowledgement of ends that are not stored.
+func TestAck(t *testing.T) {
+	is := is.New(t)
+	w := newWorker("w0", time.Now())
+	keys := []runKey{{TaskID{Job: "a"}, 1}, {TaskID{Job: "b"}, 1}, {TaskID{Job: "c"}, 1}}
+	for i, k := range keys {
+		w.seenEnd = uint64(i + 1)
+		w.ends = append(w.ends, end{w.seenEnd, k, false})
+	}
+	is.Equal(w.ack(), uint64(0))
+	w.stored(keys[1])
+	is.Equal(w.ack(), uint64(0)) // an earlier one is not stored
+	w.stored(keys[0])
+	is.Equal(w.ack(), uint64(2))
+	w.prune(2)
+	is.Equal(w.ack(), uint64(2))
+	w.stored(keys[2])
+	is.Equal(w.ack(), uint64(3))
+}
