Reach the store through a peer when it turns an instance away

Cause: with a third of the instances cut off from the store, their callers were refused for the length of the fault. Calls now go through a peer, which the log names; a leader cut off alone keeps leading. Callers refused during an outage are told to return after as long as it has lasted (1 to 4 s).

--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"jasminelane.example/lane/internal/fleet/instance"
+	"jasminelane.example/lane/internal/fleet/relay"
 	"jasminelane.example/lane/metric"
 	"jasminelane.example/lane/platform"
 )
@@ -28,6 +29,7 @@
 
 	storeConns  = 16
 	workerConns = 8
+	peerConns   = 4
 )
 
 func main() {
@@ -59,11 +61,18 @@
 }
 
 func newInstance(set *platform.Settings) *instance.Instance {
-	store := &platform.Store{Addr: set.Store, Client: platform.NewClient(storeConns)}
+	log := newLogger(os.Stdout)
+	way := &relay.Relay{
+		Direct: platform.Direct(platform.NewClient(storeConns), set.Store),
+		Peer:   platform.Peer(platform.NewClient(peerConns)),
+		Probe:  platform.ProbeCall(),
+		Logger: log,
+	}
+	store := &platform.Store{Do: way.Do}
 	workers := &platform.Workers{Client: platform.NewClient(workerConns)}
 	n := &instance.Instance{
 		Settings:     set.Settings,
-		Logger:       newLogger(os.Stdout),
+		Logger:       log,
 		Metrics:      &metric.Set{},
 		Append:       store.Append,
 		Read:         store.Read,
@@ -75,7 +84,9 @@
 		},
 		ReadyOn: func(n *instance.Instance) http.Handler { return &platform.Ready{State: n.ReadyState} },
 	}
+	n.PeersOn = func(*instance.Instance) http.Handler { return &platform.RelayHandler{Relay: way} }
 	n.Wire()
+	way.Peers = n.Others
 	return n
 }
 
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -67,6 +67,7 @@
 	caught   bool   // the end of the log has been reached once
 	reached  time.Time
 	failing  bool
+	failed   time.Time // since when reads fail
 	signs    uint64    // state.Beats at the last look
 	lastSign time.Time // of the leader, or since when reads succeed
 	changed  chan struct{}
@@ -174,6 +175,7 @@
 	defer f.mu.Unlock()
 	if !f.failing {
 		f.failing = true
+		f.failed = time.Now()
 		f.Logger.Warn("log lost", zap.Uint64("offset", f.next), zap.Error(err))
 	}
 }
@@ -364,6 +366,16 @@
 	return f.failing
 }
 
+// Outage returns how long reads of the log have failed.
+func (f *Feed) Outage() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		return 0
+	}
+	return time.Since(f.failed)
+}
+
 // View calls g with the state under its lock; g must not keep or change it.
 func (f *Feed) View(g func(s *ledger.State)) {
 	f.mu.Lock()
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -41,6 +41,7 @@
 	Callers string // address for callers
 	Ready   string // address for the balancer's probes
 	Metrics string // address for metrics; empty serves none
+	Peers   string // address for other instances; empty serves none
 	Memory  int64  // bytes; 0 is no limit
 	Grace   time.Duration
 	Bounds  leader.Bounds
@@ -80,6 +81,7 @@
 	WatchWorkers func(ctx context.Context, log *zap.Logger, enlist func([]leader.Entry))
 	CallersOn    func(n *Instance) http.Handler // the callers' interface
 	ReadyOn      func(n *Instance) http.Handler // the balancer's probe
+	PeersOn      func(n *Instance) http.Handler // other instances' calls
 
 	Feed   *feed.Feed
 	Policy *policy.Current
@@ -161,6 +163,13 @@
 			n.Logger.Warn("metrics not served", zap.Error(err))
 		}
 	}
+	if n.Settings.Peers != "" && n.PeersOn != nil {
+		if _, err := n.listen(ctx, &g, n.Settings.Peers, n.PeersOn(n)); err != nil {
+			n.Logger.Warn("peers not served", zap.Error(err))
+		} else {
+			g.Add(func() error { return n.announce(ctx) }, func(error) { cancel() })
+		}
+	}
 	done := make(chan struct{})
 	g.Add(func() error { return n.drainOn(stop, done, callers) }, func(error) { close(done) })
 	n.Logger.Info("started", zap.String("node", n.Settings.Node), zap.String("domain", n.Settings.Domain), zap.String("boot", n.Feed.Boot), zap.String("callers", n.Settings.Callers))
@@ -173,6 +182,44 @@
 	return err
 }
 
+// announcePeriod separates the looks at whether the log still tells where this
+// instance is.
+const announcePeriod = time.Second
+
+// announce tells other instances where to reach this one, again before the
+// log's retention ends.
+func (n *Instance) announce(ctx context.Context) error {
+	var written time.Time
+	for ctx.Err() == nil {
+		if n.Feed.Status().Fresh() && time.Since(written) > n.Settings.Bounds.Retention/3 {
+			r := ledger.Record{Join: &ledger.Join{Node: n.Settings.Node, Addr: n.Settings.Peers}}
+			if err := n.Feed.Write(ctx, r); err != nil {
+				n.Logger.Info("not announced", zap.Error(err))
+			} else {
+				written = time.Now()
+			}
+		}
+		select {
+		case <-time.After(announcePeriod):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// Others returns the addresses of the other instances.
+func (n *Instance) Others() []string {
+	var out []string
+	n.Feed.View(func(s *ledger.State) {
+		for node, addr := range s.Peers {
+			if node != n.Settings.Node {
+				out = append(out, addr)
+			}
+		}
+	})
+	return out
+}
+
 // DrainedError ends the instance after a graceful shutdown.
 type DrainedError struct{}
 
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -25,10 +25,19 @@
 	// maxTries bounds the appends for one request.
 	maxTries = 6
 
-	// retryAfter is when callers may return if the log is not available.
-	retryAfter = time.Second
+	// minRetryAfter and maxRetryAfter bound when callers may return while the
+	// log is away.
+	minRetryAfter = time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
+// retryAfter returns when callers may return. An outage is expected to last
+// about as long again as it has lasted, so that callers with few retries do
+// not spend them all on it.
+func (n *Intake) retryAfter() time.Duration {
+	return min(max(n.Feed.Outage(), minRetryAfter), maxRetryAfter)
+}
+
 // Fate is what became of a caller's request.
 type Fate int
 
@@ -93,7 +102,7 @@
 	a := Answer{Fate: Accepted, Cause: "known"}
 	switch {
 	case err != nil:
-		a = Answer{NotRun, "log unavailable", retryAfter}
+		a = Answer{NotRun, "log unavailable", n.retryAfter()}
 	case phase == "" || phase == ledger.Finished || phase == ledger.Faulty:
 		a = Answer{Fate: Gone, Cause: string(phase)}
 	case phase != ledger.Cancelled:
@@ -193,7 +202,7 @@
 	case uncertain:
 		return Answer{Fate: Unknown, Cause: cause.Error()}
 	}
-	return Answer{NotRun, cause.Error(), retryAfter}
+	return Answer{NotRun, cause.Error(), n.retryAfter()}
 }
 
 func (n *Intake) view(known func(*ledger.State) bool) bool {
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -23,6 +23,9 @@
 		return ok
 	case r.Carry != nil:
 		return s.carry(offset, r.Carry)
+	case r.Join != nil:
+		s.Peers[r.Join.Node] = r.Join.Addr
+		return true
 	}
 	return false
 }
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -16,6 +16,13 @@
 	Beat   *Beat     `cbor:"6,keyasint,omitempty"`
 	Resign *Beat     `cbor:"7,keyasint,omitempty"`
 	Carry  *JobState `cbor:"8,keyasint,omitempty"`
+	Join   *Join     `cbor:"9,keyasint,omitempty"`
+}
+
+// Join tells where other instances reach one.
+type Join struct {
+	Node string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"`
 }
 
 // Claim makes an instance the leader of an epoch.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -123,9 +123,10 @@
 	Leader Claim
 	Vacant bool // the leader has resigned
 	Beats  uint64
+	Peers  map[string]string // address by instance
 }
 
 // NewState returns the state of an empty log.
 func NewState() *State {
-	return &State{Jobs: make(map[string]*JobState), Vacant: true}
+	return &State{Jobs: make(map[string]*JobState), Peers: make(map[string]string), Vacant: true}
 }
--- /dev/null
+++ b/internal/fleet/relay/relay.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// probePeriod separates the direct calls that find out whether the store
+	// serves this instance again.
+	probePeriod = 500 * time.Millisecond
+
+	// probeTimeout bounds one of them.
+	probeTimeout = 500 * time.Millisecond
+
+	// restPeriod is how long no peer is asked after one could not help: the
+	// store is then away for all.
+	restPeriod = 400 * time.Millisecond
+
+	// unanswered is the number of calls in a row without answer after which
+	// the store is taken to turn this instance away.
+	unanswered = 2
+)
+
+// Call is one HTTP call to the store.
+type Call struct {
+	Method string
+	Path   string // with the query
+	Kind   string // of the body
+	Body   []byte
+}
+
+// Reply is the store's answer.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Relay makes calls to the store, directly or through a peer. The exported
+// fields are set before use.
+type Relay struct {
+	// Direct and Peer make a call; sent is false only if it certainly did not
+	// leave this instance.
+	Direct func(ctx context.Context, c Call) (r Reply, sent bool, err error)
+	Peer   func(ctx context.Context, addr string, c Call) (r Reply, sent bool, err error)
+	Peers  func() []string // addresses of other instances
+	Probe  Call            // without effect
+	Logger *zap.Logger
+
+	mu      sync.Mutex
+	missed  int // calls in a row without answer
+	bad     bool
+	probing bool
+	probed  time.Time
+	rest    time.Time // until then no peer is asked
+}
+
+// PeersError reports that no peer is known or could help.
+type PeersError struct{}
+
+// Error says so.
+func (*PeersError) Error() string { return "store unavailable, also through peers" }
+
+// Do makes the call.
+func (r *Relay) Do(ctx context.Context, c Call) (Reply, bool, error) {
+	if r.serving() {
+		rep, sent, err := r.Direct(ctx, c)
+		if r.judge(ctx, rep, err) {
+			return rep, sent, err
+		}
+		if ctx.Err() != nil {
+			return rep, sent, err
+		}
+		relayed, also, rerr := r.relay(ctx, c)
+		if rerr != nil {
+			return rep, sent || also, err
+		}
+		return relayed, true, nil
+	}
+	r.probe()
+	return r.relay(ctx, c)
+}
+
+// serving reports whether the store served this instance lately.
+func (r *Relay) serving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.bad
+}
+
+// judge notes how a direct call went and reports whether its answer stands.
+func (r *Relay) judge(ctx context.Context, rep Reply, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil && rep.Status != http.StatusServiceUnavailable && rep.Status != http.StatusTooManyRequests:
+		r.missed = 0
+		return true
+	case err != nil && ctx.Err() != nil:
+		// Without answer in time; answers also get lost one by one.
+		if r.missed++; r.missed < unanswered {
+			return true
+		}
+	}
+	r.bad = true
+	r.Logger.Warn("store turns this instance away", zap.Int("status", rep.Status), zap.Error(err))
+	return false
+}
+
+// relay makes the call through a peer.
+func (r *Relay) relay(ctx context.Context, c Call) (Reply, bool, error) {
+	peers := r.Peers()
+	r.mu.Lock()
+	resting := time.Now().Before(r.rest)
+	r.mu.Unlock()
+	if resting || len(peers) == 0 {
+		return Reply{}, false, &PeersError{}
+	}
+	rep, sent, err := r.Peer(ctx, peers[rand.IntN(len(peers))], c)
+	if err != nil || rep.Status == http.StatusServiceUnavailable {
+		r.mu.Lock()
+		r.rest = time.Now().Add(restPeriod)
+		r.mu.Unlock()
+		if err == nil {
+			err = &PeersError{}
+		}
+		return Reply{}, sent, err
+	}
+	return rep, true, nil
+}
+
+// probe finds out beside the calls whether the store serves this instance
+// again.
+func (r *Relay) probe() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.probing || time.Since(r.probed) < probePeriod {
+		return
+	}
+	r.probing = true
+	r.probed = time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		rep, _, err := r.Direct(ctx, r.Probe)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.probing = false
+		if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
+			r.bad, r.missed = false, 0
+			r.Logger.Info("store serves this instance again")
+		}
+	}()
+}
+
+// Serve makes a peer's call if the store serves this instance; otherwise it
+// answers 503, so that calls do not wander between instances.
+func (r *Relay) Serve(ctx context.Context, c Call) (Reply, error) {
+	if !r.serving() {
+		return Reply{Status: http.StatusServiceUnavailable}, nil
+	}
+	rep, _, err := r.Direct(ctx, c)
+	r.judge(ctx, rep, err)
+	return rep, err
+}
