--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -25,7 +25,7 @@
 	leadPause   = 15 * time.Millisecond
 
 	// retryPause separates reads of a log that fails.
-	retryPause = 200 * time.Millisecond
+	retryPause = 120 * time.Millisecond
 
 	// StaleAfter is how long reads may fail before the state is called stale.
 	StaleAfter = 2 * time.Second
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -13,14 +13,14 @@
 const (
 	// probePeriod separates the direct calls that find out whether the store
 	// serves this instance again.
-	probePeriod = 500 * time.Millisecond
+	probePeriod = 150 * time.Millisecond
 
 	// probeTimeout bounds one of them.
-	probeTimeout = 500 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
 
 	// restPeriod is how long no peer is asked after one could not help: the
 	// store is then away for all.
-	restPeriod = 400 * time.Millisecond
+	restPeriod = 200 * time.Millisecond
 
 	// unanswered is the number of calls in a row without answer after which
 	// the store is taken to turn this instance away.
