Keep room for units that have waited; let urgent classes take it

Change: after 1.5 s room is kept for a unit where it becomes free first, for three units at a time; units below the most urgent class may stop less urgent work after 1 s; more urgent units take kept room. Runs of workers that have left the list and never answered a new leader end after one lease.

--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -217,7 +217,7 @@
 	})
 	for range 40 {
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-		a := n.inst.Intake.Submit(ctx, config().Route("lane", "/j/"), "schools", j)
+		a := n.inst.Intake.Submit(ctx, config().Route("lane", fmt.Sprintf("/%d/", j.Priority)), "schools", j)
 		cancel()
 		if a.Fate == intake.Accepted {
 			return true
@@ -265,8 +265,12 @@
 
 func config() *policy.Config {
 	return &policy.Config{
-		Version:  1,
-		Routes:   []policy.Route{{Name: "jobs", Host: "lane", Prefix: "/j/", Service: service, Priority: 1, Attempts: 3, Stretch: 3, Target: 1000}},
+		Version: 1,
+		Routes: []policy.Route{
+			{Name: "urgent", Host: "lane", Prefix: "/0/", Service: service, Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250},
+			{Name: "jobs", Host: "lane", Prefix: "/1/", Service: service, Priority: 1, Attempts: 3, Stretch: 3, Target: 1000},
+			{Name: "bulk", Host: "lane", Prefix: "/2/", Service: service, Priority: 2, Attempts: 3, Stretch: 3, Target: 3000},
+		},
 		Services: map[string]policy.Service{service: {Name: service}},
 		Accounts: map[string]policy.Account{"schools": {Name: "schools", GPUs: 16}},
 	}
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -205,7 +205,7 @@
 
 // job draws a job.
 func (h *history) job(id string) ledger.Job {
-	j := ledger.Job{ID: id, Spec: "spec of " + id}
+	j := ledger.Job{ID: id, Spec: "spec of " + id, Priority: h.rnd.IntN(3)}
 	for i := range 1 + h.rnd.IntN(2) {
 		s := ledger.Step{
 			Count: 1 + h.rnd.IntN(6), CPU: 500, Memory: 100, GPU: int64(1) << h.rnd.IntN(4),
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -24,6 +24,9 @@
 	// holdFor is how long room that was freed for a unit is kept for it.
 	holdFor = 2 * time.Second
 
+	// drainFor is how much longer it is kept where it becomes free by itself.
+	drainFor = 8 * time.Second
+
 	// retryDelay separates runs of a unit that failed, per failure.
 	retryDelay = 100 // ms
 
@@ -97,6 +100,11 @@
 	}
 	until := time.Now().Add(holdFor)
 	for _, h := range out.Holds {
+		if h.Drain {
+			l.Logger.Info("room kept", zap.Stringer("unit", h.Unit), zap.Strings("workers", h.Workers))
+			l.holds[h.Unit] = hold{h, until.Add(drainFor)}
+			continue
+		}
 		l.holds[h.Unit] = hold{h, until}
 	}
 	for _, v := range out.Stops {
@@ -234,6 +242,7 @@
 		}
 		v.Workers = append(v.Workers, w.id)
 		v.Stopping = v.Stopping || n.stopping || n.ending
+		v.Left = max(v.Left, step.Estimate-now.Sub(n.start).Milliseconds())
 		v.Unsaved = max(v.Unsaved, unsaved(n, step, now))
 	}
 	if !w.usable(now) {
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -243,7 +243,11 @@
 // called with the lock held.
 func (l *Leader) expire(w *worker) {
 	now := time.Now()
-	if len(w.runs) == 0 || now.Before(w.lapse) || now.Sub(w.lastOK) < renewSilence {
+	lapse := w.lapse
+	if gone := l.began.Add(leaseBound(l.Bounds.Lease)); !w.looked && !w.listed && lapse.After(gone) {
+		lapse = gone // the platform says that it has left
+	}
+	if len(w.runs) == 0 || now.Before(lapse) || now.Sub(w.lastOK) < renewSilence {
 		return
 	}
 	var records []ledger.Record
--- a/internal/fleet/plan/evict.go
+++ b/internal/fleet/plan/evict.go
@@ -24,7 +24,7 @@
 		if best != nil {
 			limit = best.cost
 		}
-		if e := r.cheapest(u, ws, limit); e != nil {
+		if e := r.cheapest(u, ws, limit, r.victims); e != nil {
 			best = e
 		}
 	}
@@ -36,12 +36,65 @@
 		r.returns(v)
 		r.out.Stops = append(r.out.Stops, v)
 	}
-	h := Hold{u.ID, u.Need, best.workers}
+	h := Hold{Unit: u.ID, Priority: u.Priority, Need: u.Need, Workers: best.workers}
 	r.out.Holds = append(r.out.Holds, h)
 	r.keep(h, 1)
 	return true
 }
 
+// drain keeps room for the unit where it becomes free first. It reports
+// whether it found a way.
+func (r *round) drain(u *Waiting) bool {
+	if r.drains >= maxDrains {
+		return false
+	}
+	r.index()
+	var best *eviction
+	for _, ws := range r.sites(u) {
+		limit := -1.0
+		if best != nil {
+			limit = best.cost
+		}
+		if e := r.cheapest(u, ws, limit, r.leavers); e != nil {
+			best = e
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.drains++
+	h := Hold{Unit: u.ID, Priority: u.Priority, Need: u.Need, Workers: best.workers, Drain: true}
+	r.out.Holds = append(r.out.Holds, h)
+	r.keep(h, 1)
+	return true
+}
+
+// victims returns the worker's less urgent units, in the order in which they
+// would be stopped, with their cost in lost core-seconds.
+func (r *round) victims(u *Waiting, w *Worker) ([]*Running, func(*Running) float64) {
+	var out []*Running
+	for _, v := range r.on[w.ID] {
+		if v.Priority > u.Priority {
+			out = append(out, v)
+		}
+	}
+	return out, lost
+}
+
+// leavers returns the worker's units in the order in which they end, with
+// their cost in seconds.
+func (r *round) leavers(_ *Waiting, w *Worker) ([]*Running, func(*Running) float64) {
+	if r.ending == nil {
+		r.ending = make(map[string][]*Running)
+	}
+	vs, ok := r.ending[w.ID]
+	if !ok {
+		vs = slices.SortedStableFunc(slices.Values(r.on[w.ID]), func(a, b *Running) int { return cmp.Compare(a.Left, b.Left) })
+		r.ending[w.ID] = vs
+	}
+	return vs, func(v *Running) float64 { return float64(v.Left)/1000 + 0.1 }
+}
+
 // index lists the running units by worker, the cheapest first, and the room of
 // those that are being stopped.
 func (r *round) index() {
@@ -98,7 +151,7 @@
 // cheapest places the tasks one by one on the worker where the next one costs
 // the least lost work; nil if they do not fit even so, or cost the limit or
 // more. A negative limit is none.
-func (r *round) cheapest(u *Waiting, workers []*Worker, limit float64) *eviction {
+func (r *round) cheapest(u *Waiting, workers []*Worker, limit float64, candidates candidates) *eviction {
 	gone := make(map[ledger.UnitID]bool)
 	free := make(map[string]Room, len(workers))
 	for _, w := range workers {
@@ -114,7 +167,7 @@
 			if !r.allowed(u, w) || r.spread(u, w, 1+placed[w.ID]) < 1+placed[w.ID] {
 				continue
 			}
-			vs, cost, ok := r.makeRoom(u, w, free[w.ID], gone)
+			vs, cost, ok := r.makeRoom(u, w, free[w.ID], gone, candidates)
 			if ok && (at == nil || cost < least) {
 				at, victims, least = w, vs, cost
 				if cost == 0 {
@@ -153,19 +206,27 @@
 	return seconds * v.Need.Cores() * float64(len(v.Workers))
 }
 
-// makeRoom returns the cheapest of the worker's less urgent units, in order,
-// whose stop makes room for one task.
-func (r *round) makeRoom(u *Waiting, w *Worker, free Room, gone map[ledger.UnitID]bool) (victims []*Running, cost float64, ok bool) {
-	for _, v := range r.on[w.ID] {
+// candidates returns a worker's units that may go for the sake of a unit, in
+// order, and what each costs.
+type candidates func(u *Waiting, w *Worker) ([]*Running, func(*Running) float64)
+
+// makeRoom returns the first of the worker's candidates whose end makes room
+// for one task.
+func (r *round) makeRoom(u *Waiting, w *Worker, free Room, gone map[ledger.UnitID]bool, candidates candidates) (victims []*Running, total float64, ok bool) {
+	if free.Fits(u.Need) {
+		return nil, 0, true
+	}
+	vs, cost := candidates(u, w)
+	for _, v := range vs {
 		if free.Fits(u.Need) {
 			break
 		}
-		if v.Priority <= u.Priority || gone[v.ID] || r.stopped[v.ID] {
+		if gone[v.ID] || r.stopped[v.ID] {
 			continue
 		}
 		victims = append(victims, v)
-		cost += lost(v)
+		total += cost(v)
 		free = free.Add(v.Need) // at least one of its tasks is on this worker
 	}
-	return victims, cost, free.Fits(u.Need)
+	return victims, total, free.Fits(u.Need)
 }
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -88,14 +88,17 @@
 	Need     Room     // of one task
 	Workers  []string // of the members that have not ended
 	Unsaved  int64    // ms of work that a stop would lose
+	Left     int64    // ms until it ends, by its estimate
 	Stopping bool
 }
 
 // Hold is room on workers that is kept for a unit until it starts.
 type Hold struct {
-	Unit    ledger.UnitID
-	Need    Room
-	Workers []string
+	Unit     ledger.UnitID
+	Priority int // more urgent units may take the room
+	Need     Room
+	Workers  []string
+	Drain    bool // nothing is stopped: the room becomes free by itself
 }
 
 // Input is what one round of planning sees.
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -20,6 +20,18 @@
 	// ms.
 	avoidWait = 2000
 
+	// evictWait is how long a unit that is not most urgent waits before it
+	// stops less urgent work, in ms.
+	evictWait = 1000
+
+	// drainWait is how long a unit waits before room is kept for it as it
+	// becomes free, in ms; large gangs would otherwise wait for ever while
+	// small units take each gap.
+	drainWait = 1500
+
+	// maxDrains bounds the units for which room is kept so at one time.
+	maxDrains = 3
+
 	// maxTried bounds the units that one round tries to place.
 	maxTried = 400
 )
@@ -35,7 +47,9 @@
 	stopped map[ledger.UnitID]bool
 
 	on        map[string][]*Running // by worker, the cheapest to stop first; nil until needed
+	ending    map[string][]*Running // by worker, the first to end first; nil until needed
 	returning map[string]Room       // by worker, of units that are being stopped
+	drains    int
 }
 
 // Decide places waiting units in the order of their urgency.
@@ -57,8 +71,11 @@
 	slices.Sort(r.names)
 	for _, h := range in.Holds {
 		r.held[h.Unit] = h
-		r.keep(h, 1)
+		if h.Drain {
+			r.drains++
+		}
 	}
+	holds := slices.SortedStableFunc(slices.Values(in.Holds), func(a, b Hold) int { return cmp.Compare(a.Priority, b.Priority) })
 	order(in.Waiting)
 	type shape struct {
 		job              string
@@ -67,6 +84,10 @@
 	full := make(map[shape]bool)
 	tried := 0
 	for _, u := range in.Waiting {
+		for len(holds) > 0 && holds[0].Priority <= u.Priority {
+			r.keep(holds[0], 1)
+			holds = holds[1:]
+		}
 		key := shape{u.ID.Job, u.ID.Occurrence, u.ID.Step}
 		if full[key] {
 			continue
@@ -126,6 +147,10 @@
 			r.start(u, h.Workers)
 			return true
 		}
+		if workers := r.choose(u); workers != nil {
+			r.start(u, workers)
+			return true
+		}
 		r.keep(h, 1)
 		return true
 	}
@@ -133,10 +158,11 @@
 		r.start(u, workers)
 		return true
 	}
-	if u.Priority == 0 {
-		return r.evict(u)
+	wait := r.in.Now - u.Since
+	if (u.Priority == 0 || wait > evictWait) && r.evict(u) {
+		return true
 	}
-	return false
+	return wait > drainWait && r.drain(u)
 }
 
 // relent lets the unit back onto workers on which it failed if the others
@@ -151,11 +177,14 @@
 	count := make(map[string]int64)
 	for _, id := range workers {
 		w := r.workers[id]
-		if w == nil {
+		if w == nil || !r.allowed(u, w) {
 			return false
 		}
 		count[id]++
 		n := count[id]
+		if r.spread(u, w, int(n)) < int(n) {
+			return false // other tasks of the step have started there meanwhile
+		}
 		if !w.Free.Fits(Room{n * u.Need.CPU, n * u.Need.Memory, n * u.Need.GPU}) {
 			return false
 		}
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -124,12 +124,44 @@
 	ws[0].Free.GPU = 4
 	urgent, other := unit("urgent", 0, 1, 4), unit("other", 0, 1, 4)
 	other.Accepted = -1 // comes first in the queue
-	h := Hold{urgent.ID, urgent.Need, []string{"w0"}}
+	h := Hold{Unit: urgent.ID, Need: urgent.Need, Workers: []string{"w0"}}
 	out := Decide(Input{Workers: ws, Waiting: []*Waiting{urgent, other}, Holds: []Hold{h}})
 	is.Equal(len(out.Starts), 1)
 	is.Equal(out.Starts[0].Unit.ID.Job, "urgent")
 }
 
+// Guards against a start in kept room that the step's limits forbid by now.
+func TestHeldRoomApart(t *testing.T) {
+	is := is.New(t)
+	u := unit("a", 0, 1, 4)
+	u.Apart, u.Beside = 1, map[string]int{"w0": 1}
+	out := Decide(Input{Workers: fleet(1), Waiting: []*Waiting{u}, Holds: []Hold{{Unit: u.ID, Need: u.Need, Workers: []string{"w0"}}}})
+	is.Equal(len(out.Starts), 0)
+}
+
+// Guards against large gangs that wait for ever while small units take each
+// gap, and against room kept for them that more urgent units may not take.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	ws := fleet(2)
+	running := []*Running{fill(ws, "a", 1, 6, 0, 0), fill(ws, "b", 1, 6, 0, 1)}
+	running[0].Left, running[1].Left = 9000, 1000
+	gang, small, urgent := unit("gang", 1, 1, 8), unit("small", 2, 1, 1), unit("urgent", 0, 1, 2)
+	gang.Since = -2000
+	out := Decide(Input{Workers: ws, Waiting: []*Waiting{gang, small}, Running: running})
+	is.Equal(len(out.Stops), 0)
+	is.Equal(len(out.Holds), 1)
+	is.Equal(out.Holds[0].Workers, []string{"w1"}) // becomes free first
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Workers, []string{"w0"}) // not in the kept room
+
+	ws = fleet(2)
+	running = []*Running{fill(ws, "a", 1, 8, 0, 0), fill(ws, "b", 1, 6, 0, 1)}
+	out = Decide(Input{Workers: ws, Waiting: []*Waiting{gang, small, urgent}, Running: running, Holds: out.Holds})
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Unit.ID.Job, "urgent")
+}
+
 // Guards against an order of the queue that serves hopeless or less urgent
 // work first.
 func TestOrder(t *testing.T) {
