--- /dev/null
+++ b/internal/fleet/instance/election_test.go
@@ -0,0 +1,94 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// leaders counts the instances that take themselves for the leader.
+func (c *cluster) leaders() int {
+	n := 0
+	for _, node := range c.nodes {
+		select {
+		case <-node.dead:
+		default:
+			if node.inst.Feed.Leading() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against several leaders, takeovers without need, and takeovers that
+// come so late that leases lapse.
+func TestElection(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(c *cluster)
+		wait   time.Duration // until there is one leader again
+		epochs uint64        // new ones
+	}{
+		{"nothing", func(*cluster) {}, 5 * time.Second, 0},
+		{"log away", func(c *cluster) {
+			c.log.set(func(l *fakeLog) { l.refusing = true })
+			time.Sleep(6 * time.Second)
+			c.log.set(func(l *fakeLog) { l.refusing = false })
+		}, 3 * time.Second, 0},
+		{"log slow", func(c *cluster) {
+			c.log.set(func(l *fakeLog) { l.delay = 400 * time.Millisecond })
+			time.Sleep(6 * time.Second)
+			c.log.set(func(l *fakeLog) { l.delay = 2 * time.Millisecond })
+		}, 3 * time.Second, 0},
+		{"leader killed", func(c *cluster) { c.kill(c.leader()) }, 3 * time.Second, 1},
+		{"leader restarted", func(c *cluster) { c.restart(c.leader()) }, 1200 * time.Millisecond, 1},
+		{"leader retires", func(c *cluster) { go c.leader().inst.Feed.Retire(c.ctx) }, time.Second, 1},
+		{"leader frozen", func(c *cluster) { c.freeze(c.leader(), 10*time.Second) }, 12 * time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			play(t, 1, 5, 0, func(c *cluster) {
+				time.Sleep(3 * time.Second)
+				is.Equal(c.leaders(), 1)
+				before := c.leader().inst.Feed.Status().Epoch
+				tt.strike(c)
+				time.Sleep(tt.wait)
+				is.Equal(c.leaders(), 1)
+				is.Equal(c.leader().inst.Feed.Status().Epoch-before, tt.epochs)
+			})
+		})
+	}
+}
+
+// Guards against jobs that are forgotten when the log no longer holds their
+// submission.
+func TestExpiredLog(t *testing.T) {
+	is := is.New(t)
+	r := play(t, 1, 3, 4, func(c *cluster) {
+		for _, n := range c.nodes {
+			n.inst.Settings.Bounds.Retention = 10 * time.Second
+		}
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("long", ledger.Step{Count: 2, GPU: 1, Estimate: 60000})))
+		is.True(c.submit(c.nodes[0], job("short", ledger.Step{Count: 2, GPU: 1, Estimate: 300})))
+		for range 30 { // records live for 10 s
+			var end uint64
+			c.log.set(func(l *fakeLog) { end = uint64(len(l.records)) })
+			time.AfterFunc(10*time.Second, func() { c.log.set(func(l *fakeLog) { l.first = end }) })
+			time.Sleep(time.Second)
+		}
+		for _, n := range c.nodes {
+			c.restart(n)
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(c.phase(c.nodes[1], "long"), ledger.Running)
+		is.Equal(c.phase(c.nodes[2], "short"), ledger.Finished)
+		is.Equal(c.finish([]string{"long"}, 60*time.Second), nil)
+	})
+	is.Equal(r.broken, nil)
+}
--- a/internal/fleet/instance/fakelog_test.go
+++ b/internal/fleet/instance/fakelog_test.go
@@ -18,6 +18,7 @@
 
 	mu      sync.Mutex
 	records [][]byte
+	first   uint64 // records before it have expired
 	epoch   uint64
 	seq     uint64
 	replies map[uint64]uint64 // offset by number, of the newest appends of the epoch
@@ -129,8 +130,11 @@
 	for {
 		l.mu.Lock()
 		end, changed, refusing := uint64(len(l.records)), l.changed, l.refusing || l.cut[node]
-		records := l.records[min(from, end):]
+		records, first := l.records[min(from, end):], l.first
 		l.mu.Unlock()
+		if from < first {
+			return feed.Page{}, &feed.ExpiredError{First: first}
+		}
 		if refusing {
 			return feed.Page{}, &feed.ReadError{Err: errCut}
 		}
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	u := js.Unit(r.Unit)
-	if u == nil || u.Run != r.Run || r.Member >= len(u.Members) || u.Members[r.Member].Ended {
+	if u == nil || u.Run != r.Run || r.Member < 0 || r.Member >= len(u.Members) || u.Members[r.Member].Ended {
 		return false
 	}
 	m := &u.Members[r.Member]
@@ -161,6 +161,11 @@
 	if c.Job.ID == "" {
 		return false
 	}
+	for i := range c.Units {
+		if n := c.Units[i].ID.Step; n < 0 || n >= len(c.Job.Steps) {
+			return false
+		}
+	}
 	js := *c
 	js.Recorded = offset
 	s.Jobs[js.Job.ID] = &js
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -22,8 +22,8 @@
 	// store is then away for all.
 	restPeriod = 200 * time.Millisecond
 
-	// unanswered is the number of calls in a row without answer after which
-	// the store is taken to turn this instance away.
+	// unanswered is the number of calls in a row that fail after which the
+	// store is taken to turn this instance away.
 	unanswered = 2
 )
 
@@ -53,7 +53,7 @@
 	Logger *zap.Logger
 
 	mu      sync.Mutex
-	missed  int // calls in a row without answer
+	missed  int // calls in a row that failed
 	bad     bool
 	probing bool
 	probed  time.Time
@@ -68,12 +68,9 @@
 
 // Do makes the call.
 func (r *Relay) Do(ctx context.Context, c Call) (Reply, bool, error) {
-	if r.serving() {
+	if r.serving() || len(r.Peers()) == 0 {
 		rep, sent, err := r.Direct(ctx, c)
-		if r.judge(ctx, rep, err) {
-			return rep, sent, err
-		}
-		if ctx.Err() != nil {
+		if r.judge(rep, err) || ctx.Err() != nil {
 			return rep, sent, err
 		}
 		relayed, also, rerr := r.relay(ctx, c)
@@ -94,21 +91,18 @@
 }
 
 // judge notes how a direct call went and reports whether its answer stands.
-func (r *Relay) judge(ctx context.Context, rep Reply, err error) bool {
+func (r *Relay) judge(rep Reply, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case err == nil && rep.Status != http.StatusServiceUnavailable && rep.Status != http.StatusTooManyRequests:
+	if err == nil && rep.Status != http.StatusServiceUnavailable && rep.Status != http.StatusTooManyRequests {
 		r.missed = 0
 		return true
-	case err != nil && ctx.Err() != nil:
-		// Without answer in time; answers also get lost one by one.
-		if r.missed++; r.missed < unanswered {
-			return true
-		}
 	}
-	r.bad = true
-	r.Logger.Warn("store turns this instance away", zap.Int("status", rep.Status), zap.Error(err))
+	// Answers also get lost, and connections reset, one by one.
+	if r.missed++; r.missed >= unanswered && !r.bad {
+		r.bad = true
+		r.Logger.Warn("store turns this instance away", zap.Int("status", rep.Status), zap.Error(err))
+	}
 	return false
 }
 
@@ -165,6 +159,6 @@
 		return Reply{Status: http.StatusServiceUnavailable}, nil
 	}
 	rep, _, err := r.Direct(ctx, c)
-	r.judge(ctx, rep, err)
+	r.judge(rep, err)
 	return rep, err
 }
