--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,13 +36,39 @@
 
 // node is one instance and what is done to it.
 type node struct {
-	name   string
+	name string
+
+	mu     sync.Mutex
 	inst   *Instance
 	cancel context.CancelFunc
 	dead   chan struct{}
 	frozen chan struct{} // closed when the instance may go on
 }
 
+// instance returns the newest incarnation.
+func (n *node) instance() *Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.inst
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *node) thawed() chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen
+}
+
 // play runs f in a bubble with a cluster of instances and workers.
 func play(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *rules {
 	r := newRules()
@@ -93,11 +120,13 @@
 	dead := make(chan struct{})
 	frozen := make(chan struct{})
 	close(frozen)
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.cancel, n.dead, n.frozen = cancel, dead, frozen
 	// gate keeps a frozen instance's calls back and drops a dead one's.
 	gate := func(ctx context.Context) error {
 		select {
-		case <-n.frozen:
+		case <-n.thawed():
 		case <-dead:
 		}
 		select {
@@ -165,18 +194,19 @@
 			}
 		},
 	}
-	n.inst.Wire()
-	n.inst.Policy.Set(config())
-	go func() { _ = n.inst.Feed.Run(ctx) }()
+	inst := n.inst
+	inst.Wire()
+	inst.Policy.Set(config())
+	go func() { _ = inst.Feed.Run(ctx) }()
 }
 
 // kill ends the incarnation at once.
 func (c *cluster) kill(n *node) {
-	select {
-	case <-n.dead:
+	if n.isDead() {
 		return
-	default:
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	close(n.dead)
 	n.cancel()
 }
@@ -189,19 +219,16 @@
 // freeze stops the instance's calls for the time.
 func (c *cluster) freeze(n *node, d time.Duration) {
 	thaw := make(chan struct{})
+	n.mu.Lock()
 	n.frozen = thaw
+	n.mu.Unlock()
 	time.AfterFunc(d, func() { close(thaw) })
 }
 
 // leader returns the instance that leads, or nil.
 func (c *cluster) leader() *node {
 	for _, n := range c.nodes {
-		select {
-		case <-n.dead:
-			continue
-		default:
-		}
-		if n.inst.Feed.Leading() {
+		if !n.isDead() && n.instance().Feed.Leading() {
 			return n
 		}
 	}
@@ -217,13 +244,13 @@
 	})
 	for range 40 {
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-		a := n.inst.Intake.Submit(ctx, config().Route("lane", fmt.Sprintf("/%d/", j.Priority)), "schools", j)
+		a := n.instance().Intake.Submit(ctx, config().Route("lane", fmt.Sprintf("/%d/", j.Priority)), "schools", j)
 		cancel()
 		if a.Fate == intake.Accepted {
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
-		n = c.nodes[c.rnd.IntN(len(c.nodes))]
+		c.workers.set(func() { n = c.nodes[c.rnd.IntN(len(c.nodes))] })
 	}
 	return false
 }
@@ -232,14 +259,14 @@
 func (c *cluster) cancel(n *node, id string) string {
 	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
 	defer cancel()
-	return n.inst.Intake.Cancel(ctx, id).Fate.String()
+	return n.instance().Intake.Cancel(ctx, id).Fate.String()
 }
 
 // phase asks an instance for a job's phase.
 func (c *cluster) phase(n *node, id string) ledger.Phase {
 	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
 	defer cancel()
-	p, _ := n.inst.Intake.Phase(ctx, id)
+	p, _ := n.instance().Intake.Phase(ctx, id)
 	return p
 }
 
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -13,12 +13,8 @@
 func (c *cluster) leaders() int {
 	n := 0
 	for _, node := range c.nodes {
-		select {
-		case <-node.dead:
-		default:
-			if node.inst.Feed.Leading() {
-				n++
-			}
+		if !node.isDead() && node.instance().Feed.Leading() {
+			n++
 		}
 	}
 	return n
@@ -46,7 +42,7 @@
 		}, 3 * time.Second, 0},
 		{"leader killed", func(c *cluster) { c.kill(c.leader()) }, 3 * time.Second, 1},
 		{"leader restarted", func(c *cluster) { c.restart(c.leader()) }, 1200 * time.Millisecond, 1},
-		{"leader retires", func(c *cluster) { go c.leader().inst.Feed.Retire(c.ctx) }, time.Second, 1},
+		{"leader retires", func(c *cluster) { go c.leader().instance().Feed.Retire(c.ctx) }, time.Second, 1},
 		{"leader frozen", func(c *cluster) { c.freeze(c.leader(), 10*time.Second) }, 12 * time.Second, 1},
 	}
 	for _, tt := range tests {
@@ -55,11 +51,11 @@
 			play(t, 1, 5, 0, func(c *cluster) {
 				time.Sleep(3 * time.Second)
 				is.Equal(c.leaders(), 1)
-				before := c.leader().inst.Feed.Status().Epoch
+				before := c.leader().instance().Feed.Status().Epoch
 				tt.strike(c)
 				time.Sleep(tt.wait)
 				is.Equal(c.leaders(), 1)
-				is.Equal(c.leader().inst.Feed.Status().Epoch-before, tt.epochs)
+				is.Equal(c.leader().instance().Feed.Status().Epoch-before, tt.epochs)
 			})
 		})
 	}
@@ -71,7 +67,7 @@
 	is := is.New(t)
 	r := play(t, 1, 3, 4, func(c *cluster) {
 		for _, n := range c.nodes {
-			n.inst.Settings.Bounds.Retention = 10 * time.Second
+			n.instance().Settings.Bounds.Retention = 10 * time.Second
 		}
 		time.Sleep(2 * time.Second)
 		is.True(c.submit(c.nodes[0], job("long", ledger.Step{Count: 2, GPU: 1, Estimate: 60000})))
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -47,7 +47,7 @@
 		time.Sleep(2 * time.Second)
 		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 4, GPU: 1, Estimate: 60000})))
 		time.Sleep(time.Second)
-		is.Equal(c.nodes[1].inst.Intake.Cancel(c.ctx, "a").Fate.String(), "accepted")
+		is.Equal(c.nodes[1].instance().Intake.Cancel(c.ctx, "a").Fate.String(), "accepted")
 		time.Sleep(time.Second)
 		c.workers.set(func() {
 			for _, w := range c.workers.list {
@@ -55,7 +55,7 @@
 			}
 		})
 		is.Equal(c.phase(c.nodes[2], "a"), ledger.Cancelled)
-		is.Equal(c.nodes[1].inst.Intake.Cancel(c.ctx, "never").Fate.String(), "gone")
+		is.Equal(c.nodes[1].instance().Intake.Cancel(c.ctx, "never").Fate.String(), "gone")
 	})
 	is.Equal(r.broken, nil)
 }
@@ -96,7 +96,7 @@
 					c.boot(lead)
 				}
 				is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
-				c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+				c.nodes[0].instance().Feed.View(func(s *ledger.State) {
 					for _, u := range s.Jobs["a"].Units {
 						starts += u.Run
 					}
@@ -119,7 +119,7 @@
 		time.Sleep(9 * time.Second)
 		c.log.set(func(l *fakeLog) { l.refusing = false })
 		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
-		c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+		c.nodes[0].instance().Feed.View(func(s *ledger.State) {
 			for _, u := range s.Jobs["a"].Units {
 				is.Equal(u.Run, 1)
 			}
@@ -170,7 +170,7 @@
 		})
 		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
 		is.True(c.leader() != lead)
-		c.nodes[0].inst.Feed.View(func(s *ledger.State) {
+		c.nodes[0].instance().Feed.View(func(s *ledger.State) {
 			for _, u := range s.Jobs["a"].Units {
 				is.Equal(u.Run, 1)
 			}
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -128,7 +128,7 @@
 
 // Run plans and carries live jobs forward until the epoch ends.
 func (l *Leader) Run() {
-	l.Logger.Info("leader started", zap.Uint64("epoch", l.Epoch), zap.Int("workers", len(l.workers)))
+	l.Logger.Info("leader started", zap.Uint64("epoch", l.Epoch))
 	go l.carryLoop()
 	go l.reachLoop()
 	l.planLoop()
