Never block on the log; reload settings; histograms of callers' calls

Cause: log lines were written by the goroutine that decides, so a reader that stalls would have stalled the process; changes of the settings file were not taken up.

--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -12,8 +12,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"go.uber.org/zap"
 
 	"jasminelane.example/lane/internal/fleet/instance"
+	"jasminelane.example/lane/internal/fleet/logline"
 	"jasminelane.example/lane/internal/fleet/relay"
 	"jasminelane.example/lane/metric"
 	"jasminelane.example/lane/platform"
@@ -30,6 +34,9 @@
 	storeConns  = 16
 	workerConns = 8
 	peerConns   = 4
+
+	// flushTime bounds the wait for the last log lines at the end.
+	flushTime = 200 * time.Millisecond
 )
 
 func main() {
@@ -53,17 +60,26 @@
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory)))
 	}
-	if err := newInstance(set).Run(stopSignal()); err != nil {
+	lines := &logline.Writer{Out: os.Stdout}
+	lines.Start()
+	defer lines.Flush(flushTime)
+	log := logline.New(lines)
+	file := &settingsFile{path: path, log: log}
+	file.current.Store(set)
+	n := newInstance(file, log)
+	n.Metrics.Gauge("logdropped", func() any { return lines.Dropped() })
+	go file.watch(reloadSignal())
+	if err := n.Run(stopSignal()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return 0
 }
 
-func newInstance(set *platform.Settings) *instance.Instance {
-	log := newLogger(os.Stdout)
+func newInstance(file *settingsFile, log *zap.Logger) *instance.Instance {
+	set := file.current.Load()
 	way := &relay.Relay{
-		Direct: platform.Direct(platform.NewClient(storeConns), set.Store),
+		Direct: platform.Direct(platform.NewClient(storeConns), func() string { return file.current.Load().Store }),
 		Peer:   platform.Peer(platform.NewClient(peerConns)),
 		Probe:  platform.ProbeCall(),
 		Logger: log,
@@ -95,7 +111,6 @@
 func stopSignal() <-chan struct{} {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	signal.Ignore(syscall.SIGHUP)
 	stop := make(chan struct{})
 	go func() {
 		<-signals
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"strconv"
 	"sync"
+	"time"
 )
 
 // Set is the metrics of one instance. The zero value is ready to use.
@@ -12,6 +14,7 @@
 	Refused expvar.Map // refusals by reason, as "proposal.conflict" or "request.overload"
 	Retried expvar.Map // retries by reason
 	Events  expvar.Map // other counted events by name
+	Took    expvar.Map // durations by name and upper bound in ms, as "submit.16"
 
 	mu     sync.Mutex
 	gauges []gauge
@@ -32,6 +35,16 @@
 // Count counts an event.
 func (s *Set) Count(name string) { s.Events.Add(name, 1) }
 
+// Observe counts a duration in a bucket whose upper bound is the next power of
+// two, in ms.
+func (s *Set) Observe(name string, d time.Duration) {
+	bound := int64(1)
+	for bound < d.Milliseconds() {
+		bound *= 2
+	}
+	s.Took.Add(name+"."+strconv.FormatInt(bound, 10), 1)
+}
+
 // Gauge adds a value that is read at each request for the metrics; it must
 // encode as JSON.
 func (s *Set) Gauge(name string, read func() any) {
@@ -49,6 +62,7 @@
 		"refused": json.RawMessage(s.Refused.String()),
 		"retried": json.RawMessage(s.Retried.String()),
 		"events":  json.RawMessage(s.Events.String()),
+		"took":    json.RawMessage(s.Took.String()),
 	}
 	for _, g := range gauges {
 		out[g.name] = g.read()
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -14,6 +15,7 @@
 	var a, b Set
 	a.Refuse("request", "overload")
 	a.Refuse("request", "overload")
+	b.Observe("submit", 5*time.Millisecond)
 	b.Gauge("offset", func() any { return 7 })
 	read := func(s *Set) map[string]any {
 		w := httptest.NewRecorder()
@@ -25,4 +27,5 @@
 	is.Equal(read(&a)["refused"].(map[string]any)["request.overload"], 2.0)
 	is.Equal(len(read(&b)["refused"].(map[string]any)), 0)
 	is.Equal(read(&b)["offset"], 7.0)
+	is.Equal(read(&b)["took"].(map[string]any), map[string]any{"submit.8": 1.0})
 }
