--- a/internal/fleet/instance/fakeworker_test.go
+++ b/internal/fleet/instance/fakeworker_test.go
@@ -257,6 +257,7 @@
 	}
 	for _, w := range ws.list {
 		for _, r := range w.runs {
+			ws.rules.overdue(r, w)
 			members := gangs[gangKey{r.task.Job, r.task.Occurrence, r.task.Step, r.run}]
 			ws.work(w, r, members, now)
 		}
@@ -288,6 +289,9 @@
 		ws.end(w, r, ledger.Done)
 	case r.works.IsZero() && now.Sub(r.began) > gangWait:
 		ws.rules.alone = append(ws.rules.alone, fmt.Sprint(r.task))
+		if ws.rules.calm {
+			ws.rules.breach("GANG", r.task, " run ", r.run, " waited alone")
+		}
 		ws.end(w, r, ledger.Alone)
 	}
 }
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -77,7 +77,9 @@
 
 // faults draws up to five faults, each at a moment of its own.
 func (h *history) faults() {
-	for range h.rnd.IntN(6) {
+	count := h.rnd.IntN(6)
+	h.c.workers.set(func() { h.c.rules.calm = count == 0 })
+	for range count {
 		at, span := h.moment(), h.span()
 		n := h.c.nodes[h.rnd.IntN(len(h.c.nodes))]
 		worker := fmt.Sprintf("w%d", h.rnd.IntN(8))
@@ -209,7 +211,7 @@
 	for i := range 1 + h.rnd.IntN(2) {
 		s := ledger.Step{
 			Count: 1 + h.rnd.IntN(6), CPU: 500, Memory: 100, GPU: int64(1) << h.rnd.IntN(4),
-			Estimate: int64(200 + h.rnd.IntN(4000)), Gang: h.rnd.IntN(2) == 0, SameRack: h.rnd.IntN(2) == 0,
+			Estimate: h.length(), Gang: h.rnd.IntN(2) == 0, SameRack: h.rnd.IntN(2) == 0,
 			Checkpointable: h.rnd.IntN(2) == 0,
 		}
 		if i > 0 {
@@ -227,6 +229,14 @@
 	return j
 }
 
+// length draws a run time in ms; one in six tasks outlasts a lease.
+func (h *history) length() int64 {
+	if h.rnd.IntN(6) == 0 {
+		return int64(7000 + h.rnd.IntN(6000))
+	}
+	return int64(200 + h.rnd.IntN(4000))
+}
+
 // heal ends all faults.
 func (h *history) heal() {
 	h.c.log.set(func(l *fakeLog) {
--- a/internal/fleet/instance/rules_test.go
+++ b/internal/fleet/instance/rules_test.go
@@ -26,6 +26,7 @@
 	finished  map[stepKey]bool       // a member of the gang has ended as done
 	fails     map[leader.TaskID]int  // acknowledged ends as failed
 	alone     []string
+	calm      bool     // no fault strikes in this history
 	broken    []string // rules that were broken
 }
 
@@ -111,6 +112,14 @@
 	}
 }
 
+// overdue checks that what was cancelled does not run on.
+func (r *rules) overdue(run *taskRun, w *fakeWorker) {
+	at, ok := r.cancelled[run.task.Job]
+	if r.calm && ok && time.Since(at) > cancelSlack+stopGrace+worldTick {
+		r.breach("UNASKED", run.task, " on ", w.id, " runs ", time.Since(at), " after its cancellation")
+	}
+}
+
 func (r *rules) stepDone(j ledger.Job, occurrence, n int) bool {
 	s := j.Steps[n]
 	if s.Gang {
