--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -145,7 +145,9 @@
 		return 1, nil
 	}
 	if err != nil {
-		f.readFailed(err)
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			f.readFailed(err)
+		}
 		return 0, err
 	}
 	f.mu.Lock()
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -94,6 +95,9 @@
 func (r *Relay) judge(rep Reply, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if errors.Is(err, context.Canceled) {
+		return true // the caller gave up, which says nothing of the store
+	}
 	if err == nil && rep.Status != http.StatusServiceUnavailable && rep.Status != http.StatusTooManyRequests {
 		r.missed = 0
 		return true
@@ -145,7 +149,10 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.probing = false
-		if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
+		if errors.Is(err, context.Canceled) {
+		return true // the caller gave up, which says nothing of the store
+	}
+	if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
 			r.bad, r.missed = false, 0
 			r.Logger.Info("store serves this instance again")
 		}
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// Guards against callers who give up and so make the store look away.
+func TestCancelledCalls(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{
+		Direct: func(context.Context, Call) (Reply, bool, error) { return Reply{}, true, context.Canceled },
+		Peers:  func() []string { return []string{"p"} },
+		Logger: zap.NewNop(),
+	}
+	for range 2 * unanswered {
+		_, _, err := r.Do(context.Background(), Call{})
+		is.Equal(err, context.Canceled)
+	}
+	is.True(r.serving())
+}
+
 // Guards against an instance that keeps asking its peers after the store
 // serves it again.
 func TestRecovers(t *testing.T) {
