--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -149,10 +149,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.probing = false
-		if errors.Is(err, context.Canceled) {
-		return true // the caller gave up, which says nothing of the store
-	}
-	if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
+		if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
 			r.bad, r.missed = false, 0
 			r.Logger.Info("store serves this instance again")
 		}
