--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -125,7 +125,7 @@
 		r.rest = time.Now().Add(restPeriod)
 		r.mu.Unlock()
 		if err == nil {
-			err = &PeersError{}
+			return Reply{}, false, &PeersError{} // the peer did not make the call
 		}
 		return Reply{}, sent, err
 	}
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -29,7 +29,8 @@
 		{"direct", ok, busy, nil, nil, true, true, ok, nil},
 		{"turned away", busy, ok, nil, nil, true, true, ok, nil},
 		{"reset, peer helps", Reply{}, ok, errReset, nil, true, true, ok, nil},
-		{"not sent, peer turned away too", Reply{}, busy, errReset, nil, false, true, Reply{}, errReset},
+		{"not sent, peer turned away too", Reply{}, busy, errReset, nil, false, false, Reply{}, errReset},
+		{"not sent, peer did not answer", Reply{}, Reply{}, errReset, errReset, false, true, Reply{}, errReset},
 		{"turned away, no peer helps", busy, Reply{}, nil, errReset, true, true, busy, nil},
 	}
 	for _, tt := range tests {
