--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -53,6 +53,10 @@
 	Read   func(ctx context.Context, from uint64, wait time.Duration) (Page, error)
 	Logger *zap.Logger
 
+	// Handicap delays this instance's claims, so that instances with more
+	// processor time come first.
+	Handicap time.Duration
+
 	// OnApply, if set, is called for each record with whether it took effect,
 	// under the lock of the state.
 	OnApply func(s *ledger.State, r ledger.Record, took bool)
@@ -276,13 +280,13 @@
 	}
 	since := time.Since(f.lastSign)
 	if f.state.Vacant {
-		return since > jitter/4
+		return since > f.Handicap+jitter/4
 	}
 	// An earlier incarnation of this instance no longer leads.
 	if f.state.Leader.Node == f.Node && f.state.Leader.Boot != f.Boot {
 		return true
 	}
-	return since > silence+jitter
+	return since > silence+f.Handicap+jitter
 }
 
 // claim tries to become the leader of the next epoch. The outcome is read from
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// Guards against a leader with little processor time while others have more.
+func TestSmallInstancesLeadLast(t *testing.T) {
+	is := is.New(t)
+	play(t, 1, 5, 0, func(c *cluster) {
+		for _, n := range c.nodes[:4] {
+			n.instance().Feed.Handicap = (&Settings{Share: 0.192}).handicap()
+		}
+		time.Sleep(4 * time.Second)
+		is.Equal(c.leader().name, "e4")
+		c.kill(c.leader())
+		time.Sleep(4 * time.Second)
+		is.Equal(c.leaders(), 1) // a small one, if there is no other
+	})
+}
+
 // Guards against jobs that are forgotten when the log no longer holds their
 // submission.
 func TestExpiredLog(t *testing.T) {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -37,12 +37,13 @@
 // Settings are what an instance needs to know of its deployment.
 type Settings struct {
 	Node    string
-	Domain  string // failure domain
-	Callers string // address for callers
-	Ready   string // address for the balancer's probes
-	Metrics string // address for metrics; empty serves none
-	Peers   string // address for other instances; empty serves none
-	Memory  int64  // bytes; 0 is no limit
+	Domain  string  // failure domain
+	Callers string  // address for callers
+	Ready   string  // address for the balancer's probes
+	Metrics string  // address for metrics; empty serves none
+	Peers   string  // address for other instances; empty serves none
+	Memory  int64   // bytes; 0 is no limit
+	Share   float64 // of a processor; 0 is unknown
 	Grace   time.Duration
 	Bounds  leader.Bounds
 }
@@ -91,13 +92,30 @@
 	draining atomic.Bool
 }
 
+const (
+	// leaderShare is the part of a processor that a leader of some hundred
+	// workers needs; instances with less leave the leadership to others.
+	leaderShare = 0.3
+
+	// smallHandicap is how much later they claim it.
+	smallHandicap = 500 * time.Millisecond
+)
+
+// handicap returns how much later than others the instance claims.
+func (s *Settings) handicap() time.Duration {
+	if s.Share > 0 && s.Share < leaderShare {
+		return smallHandicap
+	}
+	return 0
+}
+
 // Wire makes the parts from the settings.
 func (n *Instance) Wire() {
 	boot := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.Policy = &policy.Current{}
 	n.Feed = &feed.Feed{
 		Node: n.Settings.Node, Boot: boot, Append: n.Append, Read: n.Read, Logger: n.Logger,
-		OnLead: n.lead, OnApply: n.applied,
+		Handicap: n.Settings.handicap(), OnLead: n.lead, OnApply: n.applied,
 	}
 	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
 	if n.Metrics != nil {
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -11,9 +11,15 @@
 )
 
 const (
-	// syncWait is how long a worker may hold a sync back until a run ends; it
-	// is the period of renewal, several of which fit into a lease.
-	syncWait = 800 * time.Millisecond
+	// minSyncWait and maxSyncWait bound how long a worker may hold a sync back
+	// until a run ends; this is the period of renewal, several of which fit
+	// into a lease. A short one finds lost answers sooner, a long one costs a
+	// leader of many workers less.
+	minSyncWait = 800 * time.Millisecond
+	maxSyncWait = 1600 * time.Millisecond
+
+	// syncShare is what each worker adds to the wait.
+	syncShare = 4 * time.Millisecond
 
 	// syncTimeout bounds the rest of a sync.
 	syncTimeout = 400 * time.Millisecond
@@ -99,7 +105,7 @@
 			o.Until = w.until(l.Bounds.Lease)
 		}
 		if !w.unstored() {
-			o.Wait = syncWait
+			o.Wait = min(max(minSyncWait, time.Duration(len(l.workers))*syncShare), maxSyncWait)
 		}
 	}
 	l.mu.Unlock()
