--- /dev/null
+++ b/internal/fleet/delay/doc.go
@@ -0,0 +1,2 @@
+// Package delay holds waits that end with a context.
+package delay
--- a/internal/fleet/feed/commit.go
+++ b/internal/fleet/feed/commit.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -113,7 +114,7 @@
 		if try == 1 {
 			f.Logger.Warn("append failed", zap.Uint64("epoch", t.epoch), zap.Uint64("seq", seq), zap.Int("records", len(records)), zap.Error(err))
 		}
-		sleep(ctx, backoff)
+		delay.For(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return false
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -107,7 +108,7 @@
 		}
 		n, err := f.poll(ctx, wait)
 		if err != nil {
-			sleep(ctx, retryPause)
+			delay.For(ctx, retryPause)
 			continue
 		}
 		f.forget()
@@ -117,7 +118,7 @@
 			continue
 		}
 		if n > 0 {
-			sleep(ctx, pause)
+			delay.For(ctx, pause)
 		}
 	}
 	f.stepDown("stopped")
@@ -482,12 +483,3 @@
 	f.yielded = time.Now().Add(pause)
 	f.ProposeLocked(epoch, ledger.Record{Resign: &ledger.Beat{Epoch: epoch}})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/ledger"
 	"jasminelane.example/lane/internal/fleet/policy"
@@ -190,7 +191,7 @@
 			// The records that can be read now tell whether it was stored.
 			err = n.Feed.Sync(ctx)
 		} else {
-			pause(ctx, retryPause)
+			delay.For(ctx, retryPause)
 		}
 		if ctx.Err() != nil || err != nil && uncertain {
 			break
@@ -210,12 +211,3 @@
 	n.Feed.View(func(s *ledger.State) { ok = known(s) })
 	return ok
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/leader/carry.go
+++ b/internal/fleet/leader/carry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
@@ -28,7 +29,7 @@
 	}
 	written := make(map[string]time.Time)
 	for l.ctx.Err() == nil {
-		pause(l.ctx, period/10)
+		delay.For(l.ctx, period/10)
 		l.carry(written, period)
 	}
 }
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -39,7 +40,7 @@
 		t := l.target(w)
 		if !looked {
 			l.mu.Unlock()
-			pause(l.ctx, failPause)
+			delay.For(l.ctx, failPause)
 			continue
 		}
 		o.Until = w.until(l.Bounds.Lease)
@@ -139,7 +140,7 @@
 		if t.Addr != "" && l.tryStop(w, t, n) {
 			return
 		}
-		pause(l.ctx, stopPause)
+		delay.For(l.ctx, stopPause)
 	}
 }
 
@@ -194,12 +195,3 @@
 		l.Logger.Info("stop of stray run failed", zap.String("worker", w.id), zap.String("job", key.task.Job), zap.Error(err))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/ledger"
 	"jasminelane.example/lane/internal/fleet/plan"
 	"jasminelane.example/lane/internal/fleet/policy"
@@ -46,7 +47,7 @@
 	for l.ctx.Err() == nil {
 		began := time.Now()
 		l.plan()
-		pause(l.ctx, max(planPause, planShare*time.Since(began)))
+		delay.For(l.ctx, max(planPause, planShare*time.Since(began)))
 		t := time.NewTimer(planPeriod)
 		select {
 		case <-l.wake:
--- a/internal/fleet/leader/reach.go
+++ b/internal/fleet/leader/reach.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/delay"
 )
 
 const (
@@ -23,7 +25,7 @@
 func (l *Leader) reachLoop() {
 	var since time.Time
 	for l.ctx.Err() == nil {
-		pause(l.ctx, reachPeriod)
+		delay.For(l.ctx, reachPeriod)
 		silent, asked := l.silent()
 		if silent < 2 || 2*silent <= asked || l.Feed.Down() {
 			since = time.Time{}
--- a/internal/fleet/plan/evict.go
+++ b/internal/fleet/plan/evict.go
@@ -17,17 +17,7 @@
 // evict stops less urgent work to make room for the unit and keeps the room
 // for it. It reports whether it found a way.
 func (r *round) evict(u *Waiting) bool {
-	r.index()
-	var best *eviction
-	for _, ws := range r.sites(u) {
-		limit := -1.0
-		if best != nil {
-			limit = best.cost
-		}
-		if e := r.cheapest(u, ws, limit, r.victims); e != nil {
-			best = e
-		}
-	}
+	best := r.best(u, r.victims)
 	if best == nil {
 		return false
 	}
@@ -48,6 +38,20 @@
 	if r.drains >= maxDrains {
 		return false
 	}
+	best := r.best(u, r.leavers)
+	if best == nil {
+		return false
+	}
+	r.drains++
+	h := Hold{Unit: u.ID, Priority: u.Priority, Need: u.Need, Workers: best.workers, Drain: true}
+	r.out.Holds = append(r.out.Holds, h)
+	r.keep(h, 1)
+	return true
+}
+
+// best returns the cheapest way to make room for the unit among the candidates,
+// or nil.
+func (r *round) best(u *Waiting, candidates candidates) *eviction {
 	r.index()
 	var best *eviction
 	for _, ws := range r.sites(u) {
@@ -55,18 +59,11 @@
 		if best != nil {
 			limit = best.cost
 		}
-		if e := r.cheapest(u, ws, limit, r.leavers); e != nil {
+		if e := r.cheapest(u, ws, limit, candidates); e != nil {
 			best = e
 		}
 	}
-	if best == nil {
-		return false
-	}
-	r.drains++
-	h := Hold{Unit: u.ID, Priority: u.Priority, Need: u.Need, Workers: best.workers, Drain: true}
-	r.out.Holds = append(r.out.Holds, h)
-	r.keep(h, 1)
-	return true
+	return best
 }
 
 // victims returns the worker's less urgent units, in the order in which they
