Stop at a takeover what was cancelled while nobody led

The leader lost power at 20.43, a cancellation was stored at 20.95 by another instance, and the new leader began at 20.99: it had folded the cancellation before it led and only took the runs over, so seven tasks ran on for 7 s.

Change: runs of jobs that have ended, and the rest of gangs of which a member has ended, are stopped when a leader takes them over. TestCancelWithoutLeader fails first.

--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -178,3 +178,28 @@
 	})
 	is.Equal(r.broken, nil)
 }
+
+// Guards against tasks that run on because their job was cancelled while no
+// instance led (mix --seed 644502482833 of sce-muscat).
+func TestCancelWithoutLeader(t *testing.T) {
+	is := is.New(t)
+	r := play(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 4, GPU: 1, Estimate: 60000})))
+		time.Sleep(time.Second)
+		lead := c.leader()
+		c.kill(lead)
+		other := c.nodes[0]
+		if other == lead {
+			other = c.nodes[1]
+		}
+		is.Equal(c.cancel(other, "a"), "accepted")
+		time.Sleep(3 * time.Second)
+		c.workers.set(func() {
+			for _, w := range c.workers.list {
+				is.Equal(len(w.runs), 0)
+			}
+		})
+	})
+	is.Equal(r.broken, nil)
+}
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// inherit takes over the runs of earlier epochs.
+// inherit takes over the runs of earlier epochs. Those of jobs that ended since
+// are stopped: nobody led when the end was written.
 func (l *Leader) inherit(js *ledger.JobState, u *ledger.Unit) {
 	for i, m := range u.Members {
 		if m.Ended {
@@ -95,6 +96,12 @@
 		r.inherited = true
 		r.saved = u.Saved
 		w.runs[r.key] = r
+		switch {
+		case js.Phase.Final():
+			l.stop(w, r, string(js.Phase))
+		case u.Broken():
+			l.stop(w, r, "gang broken")
+		}
 	}
 }
 
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -38,6 +38,17 @@
 // Active reports whether the unit has a run that has not ended.
 func (u *Unit) Active() bool { return len(u.Members) > 0 }
 
+// Broken reports whether a member of the current run has ended before the
+// others; the rest of a gang's run is then of no use.
+func (u *Unit) Broken() bool {
+	for _, m := range u.Members {
+		if m.Ended {
+			return true
+		}
+	}
+	return false
+}
+
 // JobState is a job with the progress of its units.
 type JobState struct {
 	Job      Job    `cbor:"1,keyasint"`
