Hand the leadership over while the store is reached through peers only

A leader that the store has turned away for 0.7 s hands over now (TestLeaderAwayFromStore), and calls go on through the peer that helped last.

--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -101,6 +101,7 @@
 		ReadyOn: func(n *instance.Instance) http.Handler { return &platform.Ready{State: n.ReadyState} },
 	}
 	n.PeersOn = func(*instance.Instance) http.Handler { return &platform.RelayHandler{Relay: way} }
+	n.Away = way.Away
 	n.Wire()
 	way.Peers = n.Others
 	return n
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -88,10 +88,11 @@
 
 // term is the epoch that this instance leads.
 type term struct {
-	epoch  uint64
-	cancel context.CancelFunc
-	queue  []ledger.Record
-	wake   chan struct{}
+	epoch    uint64
+	yielding bool // its resignation is proposed
+	cancel   context.CancelFunc
+	queue    []ledger.Record
+	wake     chan struct{}
 }
 
 // Run reads and folds the log until the context ends.
@@ -476,10 +477,16 @@
 	f.stepDown("resigned")
 }
 
-// Yield hands the leadership of the epoch over and claims none for the time.
-func (f *Feed) Yield(epoch uint64, pause time.Duration) {
+// Yield hands the leadership of the epoch over and claims none for the time. It
+// reports whether it was not under way already.
+func (f *Feed) Yield(epoch uint64, pause time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lead == nil || f.lead.epoch != epoch || f.lead.yielding {
+		return false
+	}
+	f.lead.yielding = true
 	f.yielded = time.Now().Add(pause)
 	f.ProposeLocked(epoch, ledger.Record{Resign: &ledger.Beat{Epoch: epoch}})
+	return true
 }
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -76,6 +76,26 @@
 	})
 }
 
+// Guards against a leader that reaches the store only through peers, slowly,
+// while others reach it (scale-2 of sce-muscat).
+func TestLeaderAwayFromStore(t *testing.T) {
+	is := is.New(t)
+	play(t, 1, 3, 0, func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		lead := c.leader()
+		inst := lead.instance()
+		inst.Away = func() time.Duration { return awayGrace - 1 }
+		inst.yieldIfAway()
+		time.Sleep(time.Second)
+		is.Equal(c.leader(), lead)
+		inst.Away = func() time.Duration { return awayGrace }
+		inst.yieldIfAway()
+		time.Sleep(time.Second)
+		is.Equal(c.leaders(), 1)
+		is.True(c.leader() != lead)
+	})
+}
+
 // Guards against jobs that are forgotten when the log no longer holds their
 // submission.
 func TestExpiredLog(t *testing.T) {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/intake"
 	"jasminelane.example/lane/internal/fleet/leader"
@@ -83,6 +84,7 @@
 	CallersOn    func(n *Instance) http.Handler // the callers' interface
 	ReadyOn      func(n *Instance) http.Handler // the balancer's probe
 	PeersOn      func(n *Instance) http.Handler // other instances' calls
+	Away         func() time.Duration           // how long the store has turned this instance away; nil is never
 
 	Feed   *feed.Feed
 	Policy *policy.Current
@@ -188,6 +190,7 @@
 			g.Add(func() error { return n.announce(ctx) }, func(error) { cancel() })
 		}
 	}
+	g.Add(func() error { return n.yieldLoop(ctx) }, func(error) { cancel() })
 	done := make(chan struct{})
 	g.Add(func() error { return n.drainOn(stop, done, callers) }, func(error) { close(done) })
 	n.Logger.Info("started", zap.String("node", n.Settings.Node), zap.String("domain", n.Settings.Domain), zap.String("boot", n.Feed.Boot), zap.String("callers", n.Settings.Callers))
@@ -225,6 +228,37 @@
 	return ctx.Err()
 }
 
+const (
+	yieldPeriod = 200 * time.Millisecond
+
+	// awayGrace is how long a leader may reach the store only through peers
+	// before another instance should lead, whose appends are quicker.
+	awayGrace = 700 * time.Millisecond
+
+	// awayPause is how long it then leaves the leadership to others.
+	awayPause = 5 * time.Second
+)
+
+// yieldLoop hands the leadership over while the store turns this instance away
+// and serves others.
+func (n *Instance) yieldLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		delay.For(ctx, yieldPeriod)
+		n.yieldIfAway()
+	}
+	return ctx.Err()
+}
+
+func (n *Instance) yieldIfAway() {
+	if n.Away == nil || n.Away() < awayGrace || n.Feed.Down() || !n.Feed.Leading() {
+		return
+	}
+	epoch := n.Feed.Status().Epoch
+	if n.Feed.Yield(epoch, awayPause) {
+		n.Logger.Info("store reached through peers only, leadership handed over", zap.Uint64("epoch", epoch), zap.Duration("away", n.Away()))
+	}
+}
+
 // Others returns the addresses of the other instances.
 func (n *Instance) Others() []string {
 	var out []string
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 	mu      sync.Mutex
 	missed  int // calls in a row that failed
 	bad     bool
+	since   time.Time // the store turns this instance away since then
+	helper  string    // peer that helped last
 	probing bool
 	probed  time.Time
 	rest    time.Time // until then no peer is asked
@@ -105,6 +108,7 @@
 	// Answers also get lost, and connections reset, one by one.
 	if r.missed++; r.missed >= unanswered && !r.bad {
 		r.bad = true
+		r.since = time.Now()
 		r.Logger.Warn("store turns this instance away", zap.Int("status", rep.Status), zap.Error(err))
 	}
 	return false
@@ -119,17 +123,46 @@
 	if resting || len(peers) == 0 {
 		return Reply{}, false, &PeersError{}
 	}
-	rep, sent, err := r.Peer(ctx, peers[rand.IntN(len(peers))], c)
-	if err != nil || rep.Status == http.StatusServiceUnavailable {
-		r.mu.Lock()
-		r.rest = time.Now().Add(restPeriod)
-		r.mu.Unlock()
-		if err == nil {
-			return Reply{}, false, &PeersError{} // the peer did not make the call
-		}
+	peer := r.choose(peers)
+	rep, sent, err := r.Peer(ctx, peer, c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && rep.Status != http.StatusServiceUnavailable {
+		r.helper = peer
+		return rep, true, nil
+	}
+	if errors.Is(err, context.Canceled) {
 		return Reply{}, sent, err
 	}
-	return rep, true, nil
+	if r.helper != peer {
+		// Not known to help before: the store may be away for all.
+		r.rest = time.Now().Add(restPeriod)
+	}
+	r.helper = ""
+	if err == nil {
+		return Reply{}, false, &PeersError{} // the peer did not make the call
+	}
+	return Reply{}, sent, err
+}
+
+// choose returns the peer that helped last, or any.
+func (r *Relay) choose(peers []string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Contains(peers, r.helper) {
+		return r.helper
+	}
+	return peers[rand.IntN(len(peers))]
+}
+
+// Away returns for how long the store has turned this instance away.
+func (r *Relay) Away() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.bad {
+		return 0
+	}
+	return time.Since(r.since)
 }
 
 // probe finds out beside the calls whether the store serves this instance
