Wait for the third join before the test stops its instance

It waited for two members, which an instance also shows that has not folded the join of the third yet; that join was folded between the wait and the comparison. The test now waits for three members before it stops one.

--- a/member/wired_test.go
+++ b/member/wired_test.go
@@ -99,10 +99,6 @@
 			for _, n := range []string{"a", "b", "c"} {
 				all = append(all, startInstance(t, n, logServer.URL, listServer.URL))
 			}
-			all[2].stop()
-			if !listed {
-				list.Set([]stream.Instance{{Name: "a"}, {Name: "b"}})
-			}
 			writers := func(in *instance) (out []string) {
 				in.View(func(s *state.State) {
 					for _, m := range s.Members {
@@ -111,6 +107,15 @@
 				})
 				return out
 			}
+			// An instance that has not folded the third join yet shows two
+			// members as well.
+			for _, in := range all[:2] {
+				in.await(t, func(replica.Status) bool { return len(writers(in)) == 3 })
+			}
+			all[2].stop()
+			if !listed {
+				list.Set([]stream.Instance{{Name: "a"}, {Name: "b"}})
+			}
 			for _, in := range all[:2] {
 				in.await(t, func(replica.Status) bool { return len(writers(in)) == 2 })
 				is.Equal(writers(in), []string{"a/1", "b/1"})
