--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -32,6 +32,7 @@
 	rules   *rules
 	nodes   []*node
 	ctx     context.Context
+	change  func(s *Settings)
 }
 
 // node is one instance and what is done to it.
@@ -71,11 +72,16 @@
 
 // play runs f in a bubble with a cluster of instances and workers.
 func play(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *rules {
+	return playWith(t, seed, instances, workers, func(*Settings) {}, f)
+}
+
+// playWith is play with a change of each incarnation's settings.
+func playWith(t *testing.T, seed uint64, instances, workers int, change func(s *Settings), f func(c *cluster)) *rules {
 	r := newRules()
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, rnd: rnd, log: newFakeLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx}
+		c := &cluster{t: t, rnd: rnd, log: newFakeLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, change: change}
 		c.workers = &fakeWorkers{
 			rnd: rand.New(rand.NewPCG(seed, 3)), list: make(map[string]*fakeWorker), rules: r, poison: make(map[string]bool),
 			lengths: func(task leader.TaskID) time.Duration {
@@ -195,6 +201,7 @@
 		},
 	}
 	inst := n.inst
+	c.change(&inst.Settings)
 	inst.Wire()
 	inst.Policy.Set(config())
 	go func() { _ = inst.Feed.Run(ctx) }()
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -64,10 +64,13 @@
 // Guards against a leader with little processor time while others have more.
 func TestSmallInstancesLeadLast(t *testing.T) {
 	is := is.New(t)
-	play(t, 1, 5, 0, func(c *cluster) {
-		for _, n := range c.nodes[:4] {
-			n.instance().Feed.Handicap = (&Settings{Share: 0.192}).handicap()
+	small := func(s *Settings) {
+		s.Share = 0.192
+		if s.Node == "e4" {
+			s.Share = 0.8
 		}
+	}
+	playWith(t, 1, 5, 0, small, func(c *cluster) {
 		time.Sleep(4 * time.Second)
 		is.Equal(c.leader().name, "e4")
 		c.kill(c.leader())
@@ -100,10 +103,8 @@
 // submission.
 func TestExpiredLog(t *testing.T) {
 	is := is.New(t)
-	r := play(t, 1, 3, 4, func(c *cluster) {
-		for _, n := range c.nodes {
-			n.instance().Settings.Bounds.Retention = 10 * time.Second
-		}
+	short := func(s *Settings) { s.Bounds.Retention = 10 * time.Second }
+	r := playWith(t, 1, 3, 4, short, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		is.True(c.submit(c.nodes[0], job("long", ledger.Step{Count: 2, GPU: 1, Estimate: 60000})))
 		is.True(c.submit(c.nodes[0], job("short", ledger.Step{Count: 2, GPU: 1, Estimate: 300})))
