Share the stand-ins of the log and the workers between tests

Cause: the stand-ins with the platform's rules for leases, fences and run numbers, and the check of the promises, stood in the test files of package instance, where tests with real processes cannot use them.

Change: they are package fleettest, with the faults as exported fields.

--- a/internal/fleet/instance/fakelog_test.go
+++ b/internal/fleet/fleettest/log.go
@@ -1,4 +1,4 @@
-package instance
+package fleettest
 
 import (
 	"context"
@@ -12,35 +12,47 @@
 
 var errCut = errors.New("cut off")
 
-// fakeLog is a log in memory with the platform's conditions and its faults.
-type fakeLog struct {
+// Log is a log in memory with the platform's conditions and its faults.
+type Log struct {
 	rnd *rand.Rand
 
 	mu      sync.Mutex
 	records [][]byte
-	first   uint64 // records before it have expired
 	epoch   uint64
 	seq     uint64
 	replies map[uint64]uint64 // offset by number, of the newest appends of the epoch
 	changed chan struct{}
 
-	refusing bool            // refuses everybody
-	silent   bool            // answers nobody
-	cut      map[string]bool // refuses these instances
-	lose     float64         // share of appends that are done without an answer
-	late     float64         // share of appends that are done seconds later, without an answer
-	delay    time.Duration
+	faults LogFaults
 }
 
-func newFakeLog(rnd *rand.Rand) *fakeLog {
-	return &fakeLog{rnd: rnd, replies: make(map[uint64]uint64), changed: make(chan struct{}), cut: make(map[string]bool), delay: 2 * time.Millisecond}
+// LogFaults is how a log misbehaves.
+type LogFaults struct {
+	Refusing bool            // refuses everybody
+	Silent   bool            // answers nobody
+	Cut      map[string]bool // refuses these instances
+	Lose     float64         // share of appends that are done without an answer
+	Late     float64         // share of appends that are done seconds later, without an answer
+	Delay    time.Duration   // of each answer
+	First    uint64          // records before it have expired
+}
+
+// defaultDelay is how long a log takes to answer.
+const defaultDelay = 2 * time.Millisecond
+
+// NewLog returns an empty log whose faults are drawn from rnd.
+func NewLog(rnd *rand.Rand) *Log {
+	return &Log{
+		rnd: rnd, replies: make(map[uint64]uint64), changed: make(chan struct{}),
+		faults: LogFaults{Cut: make(map[string]bool), Delay: defaultDelay},
+	}
 }
 
 // enter waits for the log's answer time and returns an error if it does not
 // serve the instance.
-func (l *fakeLog) enter(ctx context.Context, node string) error {
+func (l *Log) enter(ctx context.Context, node string) error {
 	l.mu.Lock()
-	delay, refusing, silent := l.delay, l.refusing || l.cut[node], l.silent
+	delay, refusing, silent := l.faults.Delay, l.faults.Refusing || l.faults.Cut[node], l.faults.Silent
 	l.mu.Unlock()
 	if refusing {
 		return errCut
@@ -59,7 +71,8 @@
 	}
 }
 
-func (l *fakeLog) append(ctx context.Context, node string, b feed.Batch) (uint64, error) {
+// Append stores a batch for the instance, as the log's faults allow.
+func (l *Log) Append(ctx context.Context, node string, b feed.Batch) (uint64, error) {
 	err := l.enter(ctx, node)
 	if errors.Is(err, errCut) {
 		return 0, &feed.RefusedError{Err: err}
@@ -68,7 +81,7 @@
 		return 0, &feed.UncertainError{Err: err}
 	}
 	l.mu.Lock()
-	lost, late := l.rnd.Float64() < l.lose, l.rnd.Float64() < l.late
+	lost, late := l.rnd.Float64() < l.faults.Lose, l.rnd.Float64() < l.faults.Late
 	wait := time.Second + time.Duration(l.rnd.Int64N(int64(5*time.Second)))
 	l.mu.Unlock()
 	if late {
@@ -84,7 +97,7 @@
 	return offset, err
 }
 
-func (l *fakeLog) store(b feed.Batch) (uint64, error) {
+func (l *Log) store(b feed.Batch) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end := uint64(len(l.records))
@@ -119,7 +132,8 @@
 	return end, nil
 }
 
-func (l *fakeLog) read(ctx context.Context, node string, from uint64, wait time.Duration) (feed.Page, error) {
+// Read returns the records from an offset on, as the log's faults allow.
+func (l *Log) Read(ctx context.Context, node string, from uint64, wait time.Duration) (feed.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	if err := l.enter(ctx, node); err != nil {
@@ -129,8 +143,8 @@
 	defer t.Stop()
 	for {
 		l.mu.Lock()
-		end, changed, refusing := uint64(len(l.records)), l.changed, l.refusing || l.cut[node]
-		records, first := l.records[min(from, end):], l.first
+		end, changed, refusing := uint64(len(l.records)), l.changed, l.faults.Refusing || l.faults.Cut[node]
+		records, first := l.records[min(from, end):], l.faults.First
 		l.mu.Unlock()
 		if from < first {
 			return feed.Page{}, &feed.ExpiredError{First: first}
@@ -151,11 +165,33 @@
 	}
 }
 
-// set changes the faults under the lock.
-func (l *fakeLog) set(f func(l *fakeLog)) {
+// End returns the offset of the next append.
+func (l *Log) End() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.records))
+}
+
+// Heal ends all faults.
+func (l *Log) Heal() {
+	l.Set(func(f *LogFaults) {
+		f.Refusing, f.Silent, f.Lose, f.Late, f.Delay = false, false, 0, 0, defaultDelay
+		clear(f.Cut)
+	})
+}
+
+// Set changes the faults.
+func (l *Log) Set(f func(l *LogFaults)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f(l)
+	f(&l.faults)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
+
+// Size returns the number of records that were ever stored.
+func (l *Log) Size() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.records))
+}
--- a/internal/fleet/instance/rules_test.go
+++ b/internal/fleet/fleettest/rules.go
@@ -1,4 +1,4 @@
-package instance
+package fleettest
 
 import (
 	"fmt"
@@ -17,23 +17,29 @@
 
 func step(t leader.TaskID) stepKey { return stepKey{t.Job, t.Occurrence, t.Step} }
 
-// rules checks the promises to callers and workers, from what the workers see.
-type rules struct {
-	jobs      map[string]ledger.Job
-	cancelled map[string]time.Time // by the acknowledgement
+// Rules checks the promises to callers and workers, from what the workers see.
+// The exported fields are used under the lock of the workers.
+type Rules struct {
+	Jobs      map[string]ledger.Job
+	Cancelled map[string]time.Time // by the acknowledgement
+	Refused   map[string]bool      // jobs that were certainly not accepted
+	Alone     []string             // members of gangs that waited in vain
+	Calm      bool                 // no fault strikes in this history
+	Broken    []string             // promises that were broken
+	Starts    int                  // orders that were carried out
+
 	done      map[leader.TaskID]bool
 	doneNoted map[leader.TaskID]bool // the system acknowledged an end as done
 	finished  map[stepKey]bool       // a member of the gang has ended as done
 	fails     map[leader.TaskID]int  // acknowledged ends as failed
-	alone     []string
-	calm      bool     // no fault strikes in this history
-	broken    []string // rules that were broken
 }
 
-func newRules() *rules {
-	return &rules{
-		jobs:      make(map[string]ledger.Job),
-		cancelled: make(map[string]time.Time),
+// NewRules returns rules that are not broken.
+func NewRules() *Rules {
+	return &Rules{
+		Jobs:      make(map[string]ledger.Job),
+		Cancelled: make(map[string]time.Time),
+		Refused:   make(map[string]bool),
 		done:      make(map[leader.TaskID]bool),
 		doneNoted: make(map[leader.TaskID]bool),
 		finished:  make(map[stepKey]bool),
@@ -41,30 +47,36 @@
 	}
 }
 
-func (r *rules) breach(rule string, detail ...any) {
-	r.broken = append(r.broken, rule+": "+fmt.Sprint(detail...))
+func (r *Rules) breach(rule string, detail ...any) {
+	r.Broken = append(r.Broken, rule+": "+fmt.Sprint(detail...))
 }
 
 // cancelSlack is the time in which starts after a cancellation are allowed.
 const cancelSlack = 3 * time.Second
 
-func (r *rules) started(ws *fakeWorkers, w *fakeWorker, o leader.StartOrder, late bool) {
-	j, ok := r.jobs[o.Task.Job]
+// started checks a start that a worker is about to carry out; false means that
+// it cannot, because nobody submitted the job.
+func (r *Rules) started(ws *Workers, w *Worker, o leader.StartOrder, late bool) bool {
+	r.Starts++
+	j, ok := r.Jobs[o.Task.Job]
 	if !ok {
 		r.breach("UNASKED", "unknown job ", o.Task)
-		return
+		return false
 	}
 	s := j.Steps[o.Task.Step]
 	if o.Spec != j.Spec {
 		r.breach("UNASKED", "another spec ", o.Task)
 	}
-	if at, ok := r.cancelled[j.ID]; ok && !late && time.Since(at) > cancelSlack {
+	if at, ok := r.Cancelled[j.ID]; ok && !late && time.Since(at) > cancelSlack {
 		r.breach("UNASKED", o.Task, " started ", time.Since(at), " after its cancellation")
 	}
-	r.room(w, o, s, j)
-	for _, other := range ws.list {
-		if run := other.runs[o.Task]; !other.down && run != nil {
-			r.breach("TWICE", o.Task, " run ", o.Run, " on ", w.id, " beside run ", run.run, " on ", other.id)
+	if r.Refused[j.ID] {
+		r.breach("REFUSED", o.Task, " started")
+	}
+	r.room(w, o, s)
+	for _, other := range ws.List {
+		if run := other.runs[o.Task]; !other.Down && run != nil {
+			r.breach("TWICE", o.Task, " run ", o.Run, " on ", w.ID, " beside run ", run.run, " on ", other.ID)
 		}
 	}
 	if r.doneNoted[o.Task] {
@@ -81,23 +93,24 @@
 	if j.Attempts > 0 && r.fails[o.Task] >= j.Attempts && !s.Lasting {
 		r.breach("BUDGET", o.Task, " run ", o.Run)
 	}
-	r.apart(ws, w, o, s)
+	r.apart(w, o, s)
+	return true
 }
 
 // room checks that a worker is not filled beyond its capacity.
-func (r *rules) room(w *fakeWorker, o leader.StartOrder, s ledger.Step, _ ledger.Job) {
+func (r *Rules) room(w *Worker, o leader.StartOrder, s ledger.Step) {
 	used := plan.Room{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}
 	for task := range w.runs {
-		o := r.jobs[task.Job].Steps[task.Step]
+		o := r.Jobs[task.Job].Steps[task.Step]
 		used = used.Add(plan.Room{CPU: o.CPU, Memory: o.Memory, GPU: o.GPU})
 	}
-	if !w.total.Fits(used) {
-		r.breach("LIMIT", o.Task, " on ", w.id, " ", used)
+	if !w.Total.Fits(used) {
+		r.breach("LIMIT", o.Task, " on ", w.ID, " ", used)
 	}
 }
 
 // apart checks that a step's tasks do not share a worker beyond its limit.
-func (r *rules) apart(_ *fakeWorkers, w *fakeWorker, o leader.StartOrder, s ledger.Step) {
+func (r *Rules) apart(w *Worker, o leader.StartOrder, s ledger.Step) {
 	if s.Apart == 0 {
 		return
 	}
@@ -108,19 +121,33 @@
 		}
 	}
 	if n > s.Apart {
-		r.breach("ROUTE", o.Task, " beside ", n-1, " tasks of its step on ", w.id)
+		r.breach("ROUTE", o.Task, " beside ", n-1, " tasks of its step on ", w.ID)
 	}
 }
 
 // overdue checks that what was cancelled does not run on.
-func (r *rules) overdue(run *taskRun, w *fakeWorker) {
-	at, ok := r.cancelled[run.task.Job]
-	if r.calm && ok && time.Since(at) > cancelSlack+stopGrace+worldTick {
-		r.breach("UNASKED", run.task, " on ", w.id, " runs ", time.Since(at), " after its cancellation")
+func (r *Rules) overdue(run *taskRun, w *Worker) {
+	at, ok := r.Cancelled[run.task.Job]
+	if r.Calm && ok && time.Since(at) > cancelSlack+StopGrace+tick {
+		r.breach("UNASKED", run.task, " on ", w.ID, " runs ", time.Since(at), " after its cancellation")
+	}
+}
+
+// Unfinished returns the steps of a job shown as done that did not end so.
+func (r *Rules) Unfinished(id string) []string {
+	var wrong []string
+	j := r.Jobs[id]
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			if !r.stepDone(j, k, i) {
+				wrong = append(wrong, fmt.Sprintf("MIXED: %s is shown as done, step %d of occurrence %d is not", id, i, k))
+			}
+		}
 	}
+	return wrong
 }
 
-func (r *rules) stepDone(j ledger.Job, occurrence, n int) bool {
+func (r *Rules) stepDone(j ledger.Job, occurrence, n int) bool {
 	s := j.Steps[n]
 	if s.Gang {
 		return r.finished[stepKey{j.ID, occurrence, n}]
@@ -133,7 +160,7 @@
 	return true
 }
 
-func (r *rules) ended(run *taskRun, how ledger.How) {
+func (r *Rules) ended(run *taskRun, how ledger.How) {
 	if how == ledger.Done {
 		r.done[run.task] = true
 		r.finished[step(run.task)] = true
@@ -141,7 +168,7 @@
 }
 
 // noted takes account of an end that the system said is stored.
-func (r *rules) noted(e leader.EndedTask) {
+func (r *Rules) noted(e leader.EndedTask) {
 	switch e.How {
 	case ledger.Done:
 		r.doneNoted[e.Task] = true
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/intake"
 	"jasminelane.example/lane/internal/fleet/leader"
 	"jasminelane.example/lane/internal/fleet/ledger"
@@ -27,9 +28,9 @@
 type cluster struct {
 	t       *testing.T
 	rnd     *rand.Rand
-	log     *fakeLog
-	workers *fakeWorkers
-	rules   *rules
+	log     *fleettest.Log
+	workers *fleettest.Workers
+	rules   *fleettest.Rules
 	nodes   []*node
 	ctx     context.Context
 	change  func(s *Settings)
@@ -71,38 +72,25 @@
 }
 
 // play runs f in a bubble with a cluster of instances and workers.
-func play(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *rules {
+func play(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *fleettest.Rules {
 	return playWith(t, seed, instances, workers, func(*Settings) {}, f)
 }
 
 // playWith is play with a change of each incarnation's settings.
-func playWith(t *testing.T, seed uint64, instances, workers int, change func(s *Settings), f func(c *cluster)) *rules {
-	r := newRules()
+func playWith(t *testing.T, seed uint64, instances, workers int, change func(s *Settings), f func(c *cluster)) *fleettest.Rules {
+	r := fleettest.NewRules()
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, rnd: rnd, log: newFakeLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, change: change}
-		c.workers = &fakeWorkers{
-			rnd: rand.New(rand.NewPCG(seed, 3)), list: make(map[string]*fakeWorker), rules: r, poison: make(map[string]bool),
-			lengths: func(task leader.TaskID) time.Duration {
-				return time.Duration(r.jobs[task.Job].Steps[task.Step].Estimate) * time.Millisecond
-			},
-			widths: func(task leader.TaskID) int {
-				if s := r.jobs[task.Job].Steps[task.Step]; s.Gang {
-					return s.Count
-				}
-				return 1
-			},
-		}
+		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, change: change}
+		c.workers = fleettest.NewWorkers(rand.New(rand.NewPCG(seed, 3)), r)
 		for i := range workers {
-			w := &fakeWorker{
-				id: fmt.Sprintf("w%d", i), rack: fmt.Sprintf("r%d", i/4), rate: 1 - 0.02*rnd.Float64(),
-				total: plan.Room{CPU: 8000, Memory: 8000, GPU: 8}, cut: make(map[string]bool),
-			}
-			c.workers.boot(w)
-			c.workers.list[w.id] = w
+			c.workers.Add(&fleettest.Worker{
+				ID: fmt.Sprintf("w%d", i), Service: service, Rack: fmt.Sprintf("r%d", i/4), Rate: 1 - 0.02*rnd.Float64(),
+				Total: plan.Room{CPU: 8000, Memory: 8000, GPU: 8},
+			})
 		}
-		go c.workers.tick(ctx)
+		go c.workers.Run(ctx)
 		for i := range instances {
 			n := &node{name: fmt.Sprintf("e%d", i)}
 			c.nodes = append(c.nodes, n)
@@ -148,13 +136,13 @@
 		log = zap.Must(zap.NewDevelopment()).Named(n.name)
 	}
 	n.inst = &Instance{
-		Settings: Settings{Node: n.name, Bounds: leader.Bounds{Lease: leaseMax, StopGrace: stopGrace, Retention: 5 * time.Minute}},
+		Settings: Settings{Node: n.name, Bounds: leader.Bounds{Lease: fleettest.LeaseMax, StopGrace: fleettest.StopGrace, Retention: 5 * time.Minute}},
 		Logger:   log,
 		Append: func(ctx context.Context, b feed.Batch) (uint64, error) {
 			if err := gate(ctx); err != nil {
 				return 0, &feed.RefusedError{Err: err}
 			}
-			o, err := c.log.append(ctx, n.name, b)
+			o, err := c.log.Append(ctx, n.name, b)
 			_ = gate(ctx)
 			return o, err
 		},
@@ -162,7 +150,7 @@
 			if err := gate(ctx); err != nil {
 				return feed.Page{}, &feed.ReadError{Err: err}
 			}
-			p, err := c.log.read(ctx, n.name, from, wait)
+			p, err := c.log.Read(ctx, n.name, from, wait)
 			_ = gate(ctx)
 			return p, err
 		},
@@ -171,19 +159,19 @@
 				if err := gate(ctx); err != nil {
 					return &leader.NoAnswerError{Err: err}
 				}
-				return c.workers.start(ctx, n.name, t, o)
+				return c.workers.Start(ctx, n.name, t, o)
 			},
 			Stop: func(ctx context.Context, t leader.Target, o leader.StopOrder) error {
 				if err := gate(ctx); err != nil {
 					return &leader.NoAnswerError{Err: err}
 				}
-				return c.workers.stop(ctx, n.name, t, o)
+				return c.workers.Stop(ctx, n.name, t, o)
 			},
 			Sync: func(ctx context.Context, t leader.Target, o leader.SyncOrder) (leader.Report, error) {
 				if err := gate(ctx); err != nil {
 					return leader.Report{}, &leader.NoAnswerError{Err: err}
 				}
-				rep, err := c.workers.sync(ctx, n.name, t, o)
+				rep, err := c.workers.Sync(ctx, n.name, t, o)
 				_ = gate(ctx)
 				return rep, err
 			},
@@ -191,7 +179,7 @@
 		WatchWorkers: func(ctx context.Context, _ *zap.Logger, enlist func([]leader.Entry)) {
 			for ctx.Err() == nil {
 				if gate(ctx) == nil {
-					enlist(c.workers.entries())
+					enlist(c.workers.Entries())
 				}
 				select {
 				case <-time.After(400 * time.Millisecond):
@@ -245,9 +233,9 @@
 // submit hands a job in at an instance and repeats it like a caller until its
 // fate is known.
 func (c *cluster) submit(n *node, j ledger.Job) bool {
-	c.workers.set(func() {
+	c.workers.Set(func() {
 		j.Attempts = config().Routes[0].Attempts
-		c.rules.jobs[j.ID] = j
+		c.rules.Jobs[j.ID] = j
 	})
 	for range 40 {
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
@@ -257,7 +245,7 @@
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
-		c.workers.set(func() { n = c.nodes[c.rnd.IntN(len(c.nodes))] })
+		c.workers.Set(func() { n = c.nodes[c.rnd.IntN(len(c.nodes))] })
 	}
 	return false
 }
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -31,14 +32,14 @@
 	}{
 		{"nothing", func(*cluster) {}, 5 * time.Second, 0},
 		{"log away", func(c *cluster) {
-			c.log.set(func(l *fakeLog) { l.refusing = true })
+			c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = true })
 			time.Sleep(6 * time.Second)
-			c.log.set(func(l *fakeLog) { l.refusing = false })
+			c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = false })
 		}, 3 * time.Second, 0},
 		{"log slow", func(c *cluster) {
-			c.log.set(func(l *fakeLog) { l.delay = 400 * time.Millisecond })
+			c.log.Set(func(l *fleettest.LogFaults) { l.Delay = 400 * time.Millisecond })
 			time.Sleep(6 * time.Second)
-			c.log.set(func(l *fakeLog) { l.delay = 2 * time.Millisecond })
+			c.log.Set(func(l *fleettest.LogFaults) { l.Delay = 2 * time.Millisecond })
 		}, 3 * time.Second, 0},
 		{"leader killed", func(c *cluster) { c.kill(c.leader()) }, 3 * time.Second, 1},
 		{"leader restarted", func(c *cluster) { c.restart(c.leader()) }, 1200 * time.Millisecond, 1},
@@ -109,9 +110,8 @@
 		is.True(c.submit(c.nodes[0], job("long", ledger.Step{Count: 2, GPU: 1, Estimate: 60000})))
 		is.True(c.submit(c.nodes[0], job("short", ledger.Step{Count: 2, GPU: 1, Estimate: 300})))
 		for range 30 { // records live for 10 s
-			var end uint64
-			c.log.set(func(l *fakeLog) { end = uint64(len(l.records)) })
-			time.AfterFunc(10*time.Second, func() { c.log.set(func(l *fakeLog) { l.first = end }) })
+			end := c.log.End()
+			time.AfterFunc(10*time.Second, func() { c.log.Set(func(l *fleettest.LogFaults) { l.First = end }) })
 			time.Sleep(time.Second)
 		}
 		for _, n := range c.nodes {
@@ -122,5 +122,5 @@
 		is.Equal(c.phase(c.nodes[2], "short"), ledger.Finished)
 		is.Equal(c.finish([]string{"long"}, 60*time.Second), nil)
 	})
-	is.Equal(r.broken, nil)
+	is.Equal(r.Broken, nil)
 }
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -44,7 +45,7 @@
 		h.heal()
 		open = h.settle()
 	})
-	return append(r.broken, open...)
+	return append(r.Broken, open...)
 }
 
 // history generates the load and the faults of one history.
@@ -78,7 +79,7 @@
 // faults draws up to five faults, each at a moment of its own.
 func (h *history) faults() {
 	count := h.rnd.IntN(6)
-	h.c.workers.set(func() { h.c.rules.calm = count == 0 })
+	h.c.workers.Set(func() { h.c.rules.Calm = count == 0 })
 	for range count {
 		at, span := h.moment(), h.span()
 		n := h.c.nodes[h.rnd.IntN(len(h.c.nodes))]
@@ -100,27 +101,27 @@
 		case 2:
 			h.after(at, func() {
 				n := target()
-				h.c.log.set(func(l *fakeLog) { l.cut[n.name] = true })
-				h.after(span, func() { h.c.log.set(func(l *fakeLog) { l.cut[n.name] = false }) })
+				h.c.log.Set(func(l *fleettest.LogFaults) { l.Cut[n.name] = true })
+				h.after(span, func() { h.c.log.Set(func(l *fleettest.LogFaults) { l.Cut[n.name] = false }) })
 			})
 		case 3:
-			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.refusing = on }) })
+			h.during(at, span, func(on bool) { h.c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = on }) })
 		case 4:
-			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.silent = on }) })
+			h.during(at, span, func(on bool) { h.c.log.Set(func(l *fleettest.LogFaults) { l.Silent = on }) })
 		case 5:
-			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.lose = share * value(on) }) })
+			h.during(at, span, func(on bool) { h.c.log.Set(func(l *fleettest.LogFaults) { l.Lose = share * value(on) }) })
 		case 6:
-			h.during(at, span, func(on bool) { h.c.log.set(func(l *fakeLog) { l.late = share * value(on) }) })
+			h.during(at, span, func(on bool) { h.c.log.Set(func(l *fleettest.LogFaults) { l.Late = share * value(on) }) })
 		case 7:
-			h.after(at, func() { h.c.workers.crash(worker) })
-			h.after(at+span, func() { h.c.workers.reboot(worker) })
+			h.after(at, func() { h.c.workers.Crash(worker) })
+			h.after(at+span, func() { h.c.workers.Reboot(worker) })
 		case 8:
 			h.during(at, span, func(on bool) {
-				h.c.workers.set(func() {
-					w := h.c.workers.list[worker]
-					w.oneWay = oneWay
+				h.c.workers.Set(func() {
+					w := h.c.workers.List[worker]
+					w.OneWay = oneWay
 					for _, n := range h.c.nodes {
-						w.cut[n.name] = on
+						w.Cut[n.name] = on
 					}
 				})
 			})
@@ -128,9 +129,9 @@
 			h.after(at, func() {
 				name := target().name
 				cut := func(on bool) {
-					h.c.workers.set(func() {
-						for _, w := range h.c.workers.list {
-							w.cut[name] = on
+					h.c.workers.Set(func() {
+						for _, w := range h.c.workers.List {
+							w.Cut[name] = on
 						}
 					})
 				}
@@ -138,9 +139,9 @@
 				h.after(span, func() { cut(false) })
 			})
 		case 10:
-			h.during(at, span, func(on bool) { h.c.workers.set(func() { h.c.workers.late = share * value(on) }) })
+			h.during(at, span, func(on bool) { h.c.workers.Set(func() { h.c.workers.Late = share * value(on) }) })
 		case 11:
-			h.during(at, span, func(on bool) { h.c.workers.set(func() { h.c.workers.lose = share * value(on) }) })
+			h.during(at, span, func(on bool) { h.c.workers.Set(func() { h.c.workers.Lose = share * value(on) }) })
 		case 12:
 			h.after(at, func() {
 				for _, n := range h.c.nodes {
@@ -150,7 +151,7 @@
 		}
 	}
 	if h.rnd.IntN(3) == 0 {
-		h.c.workers.set(func() { h.c.workers.flaky = 0.1 })
+		h.c.workers.Set(func() { h.c.workers.Flaky = 0.1 })
 	}
 }
 
@@ -180,7 +181,7 @@
 			defer func() { h.pending <- struct{}{} }()
 			time.Sleep(at)
 			ok := h.c.submit(from, j)
-			h.c.workers.set(func() { h.accepted[j.ID] = ok })
+			h.c.workers.Set(func() { h.accepted[j.ID] = ok })
 			if ok && cancel {
 				time.Sleep(cancelAt)
 				h.cancel(j.ID)
@@ -196,7 +197,7 @@
 		switch h.c.cancel(n, id) {
 		case "accepted":
 			at := time.Now()
-			h.c.workers.set(func() { h.c.rules.cancelled[id] = at })
+			h.c.workers.Set(func() { h.c.rules.Cancelled[id] = at })
 			return
 		case "gone":
 			return
@@ -239,19 +240,8 @@
 
 // heal ends all faults.
 func (h *history) heal() {
-	h.c.log.set(func(l *fakeLog) {
-		l.refusing, l.silent, l.lose, l.late = false, false, 0, 0
-		clear(l.cut)
-	})
-	h.c.workers.set(func() {
-		h.c.workers.late, h.c.workers.lose = 0, 0
-		for _, w := range h.c.workers.list {
-			clear(w.cut)
-			if w.down {
-				h.c.workers.boot(w)
-			}
-		}
-	})
+	h.c.log.Heal()
+	h.c.workers.Heal()
 }
 
 // settle waits for all jobs to end and returns what is then not as promised.
@@ -269,33 +259,10 @@
 		wrong = append(wrong, "LOST: "+s)
 	}
 	time.Sleep(8 * time.Second) // leases of unreachable runs have ended, stops are done
-	h.c.workers.set(func() {
-		for _, w := range h.c.workers.list {
-			for task := range w.runs {
-				wrong = append(wrong, fmt.Sprintf("UNASKED: %v still runs on %s", task, w.id))
-			}
-			if len(w.ended) > 0 {
-				wrong = append(wrong, fmt.Sprintf("Acks: %d ends on %s", len(w.ended), w.id))
-			}
-		}
-	})
+	wrong = append(wrong, h.c.workers.Open()...)
 	for _, id := range ids {
 		if p := h.c.phase(h.c.nodes[0], id); p == ledger.Finished {
-			wrong = append(wrong, h.unfinished(id)...)
-		}
-	}
-	return wrong
-}
-
-// unfinished returns the tasks of a job shown as done that did not end so.
-func (h *history) unfinished(id string) []string {
-	var wrong []string
-	j := h.c.rules.jobs[id]
-	for k := range j.Occurrences() {
-		for i := range j.Steps {
-			if !h.c.rules.stepDone(j, k, i) {
-				wrong = append(wrong, fmt.Sprintf("MIXED: %s is shown as done, step %d of occurrence %d is not", id, i, k))
-			}
+			h.c.workers.Set(func() { wrong = append(wrong, h.c.rules.Unfinished(id)...) })
 		}
 	}
 	return wrong
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -33,8 +34,8 @@
 				is.Equal(c.finish([]string{tt.job.ID}, 20*time.Second), nil)
 				is.Equal(c.phase(c.nodes[2], tt.job.ID), ledger.Finished)
 			})
-			is.Equal(r.broken, nil)
-			is.Equal(r.alone, nil)
+			is.Equal(r.Broken, nil)
+			is.Equal(r.Alone, nil)
 		})
 	}
 }
@@ -49,15 +50,15 @@
 		time.Sleep(time.Second)
 		is.Equal(c.nodes[1].instance().Intake.Cancel(c.ctx, "a").Fate.String(), "accepted")
 		time.Sleep(time.Second)
-		c.workers.set(func() {
-			for _, w := range c.workers.list {
-				is.Equal(len(w.runs), 0)
+		c.workers.Set(func() {
+			for _, w := range c.workers.List {
+				is.Equal(w.Running(), 0)
 			}
 		})
 		is.Equal(c.phase(c.nodes[2], "a"), ledger.Cancelled)
 		is.Equal(c.nodes[1].instance().Intake.Cancel(c.ctx, "never").Fate.String(), "gone")
 	})
-	is.Equal(r.broken, nil)
+	is.Equal(r.Broken, nil)
 }
 
 // Guards against running work that a new leader starts anew, or lets lapse,
@@ -71,8 +72,8 @@
 		{"restarted", func(c *cluster, lead *node) { c.restart(lead) }},
 		{"frozen", func(c *cluster, lead *node) { c.freeze(lead, 5*time.Second) }},
 		{"cut from the log", func(c *cluster, lead *node) {
-			c.log.set(func(l *fakeLog) { l.cut[lead.name] = true })
-			time.AfterFunc(5*time.Second, func() { c.log.set(func(l *fakeLog) { l.cut[lead.name] = false }) })
+			c.log.Set(func(l *fleettest.LogFaults) { l.Cut[lead.name] = true })
+			time.AfterFunc(5*time.Second, func() { c.log.Set(func(l *fleettest.LogFaults) { l.Cut[lead.name] = false }) })
 		}},
 		{"all restarted", func(c *cluster, _ *node) {
 			for _, n := range c.nodes {
@@ -102,7 +103,7 @@
 					}
 				})
 			})
-			is.Equal(r.broken, nil)
+			is.Equal(r.Broken, nil)
 			is.Equal(starts, 8) // one run of each task
 		})
 	}
@@ -115,9 +116,9 @@
 		time.Sleep(2 * time.Second)
 		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 8, GPU: 1, Estimate: 12000})))
 		time.Sleep(time.Second)
-		c.log.set(func(l *fakeLog) { l.refusing = true })
+		c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = true })
 		time.Sleep(9 * time.Second)
-		c.log.set(func(l *fakeLog) { l.refusing = false })
+		c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = false })
 		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
 		c.nodes[0].instance().Feed.View(func(s *ledger.State) {
 			for _, u := range s.Jobs["a"].Units {
@@ -125,7 +126,7 @@
 			}
 		})
 	})
-	is.Equal(r.broken, nil)
+	is.Equal(r.Broken, nil)
 }
 
 // Guards against a task that runs on a worker beyond reach while another run
@@ -137,12 +138,12 @@
 			time.Sleep(2 * time.Second)
 			is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 2, GPU: 8, Estimate: 20000, Gang: true})))
 			time.Sleep(time.Second)
-			c.workers.set(func() {
-				for _, w := range c.workers.list {
-					if len(w.runs) > 0 {
-						w.oneWay = oneWay
+			c.workers.Set(func() {
+				for _, w := range c.workers.List {
+					if w.Running() > 0 {
+						w.OneWay = oneWay
 						for _, n := range c.nodes {
-							w.cut[n.name] = true
+							w.Cut[n.name] = true
 						}
 						break
 					}
@@ -150,7 +151,7 @@
 			})
 			is.Equal(c.finish([]string{"a"}, 60*time.Second), nil)
 		})
-		is.Equal(r.broken, nil)
+		is.Equal(r.Broken, nil)
 	}
 }
 
@@ -163,9 +164,9 @@
 		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 8, GPU: 4, Estimate: 9000})))
 		time.Sleep(time.Second)
 		lead := c.leader()
-		c.workers.set(func() {
-			for _, w := range c.workers.list {
-				w.cut[lead.name] = true
+		c.workers.Set(func() {
+			for _, w := range c.workers.List {
+				w.Cut[lead.name] = true
 			}
 		})
 		is.Equal(c.finish([]string{"a"}, 20*time.Second), nil)
@@ -176,7 +177,7 @@
 			}
 		})
 	})
-	is.Equal(r.broken, nil)
+	is.Equal(r.Broken, nil)
 }
 
 // Guards against tasks that run on because their job was cancelled while no
@@ -195,11 +196,11 @@
 		}
 		is.Equal(c.cancel(other, "a"), "accepted")
 		time.Sleep(3 * time.Second)
-		c.workers.set(func() {
-			for _, w := range c.workers.list {
-				is.Equal(len(w.runs), 0)
+		c.workers.Set(func() {
+			for _, w := range c.workers.List {
+				is.Equal(w.Running(), 0)
 			}
 		})
 	})
-	is.Equal(r.broken, nil)
+	is.Equal(r.Broken, nil)
 }
