--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// enter waits for the log's answer time and returns an error if it does not
+// Admit waits for the log's answer time and returns an error if it does not
 // serve the instance.
-func (l *Log) enter(ctx context.Context, node string) error {
+func (l *Log) Admit(ctx context.Context, node string) error {
 	l.mu.Lock()
 	delay, refusing, silent := l.faults.Delay, l.faults.Refusing || l.faults.Cut[node], l.faults.Silent
 	l.mu.Unlock()
@@ -73,7 +73,7 @@
 
 // Append stores a batch for the instance, as the log's faults allow.
 func (l *Log) Append(ctx context.Context, node string, b feed.Batch) (uint64, error) {
-	err := l.enter(ctx, node)
+	err := l.Admit(ctx, node)
 	if errors.Is(err, errCut) {
 		return 0, &feed.RefusedError{Err: err}
 	}
@@ -136,7 +136,7 @@
 func (l *Log) Read(ctx context.Context, node string, from uint64, wait time.Duration) (feed.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	if err := l.enter(ctx, node); err != nil {
+	if err := l.Admit(ctx, node); err != nil {
 		return feed.Page{}, &feed.ReadError{Err: err}
 	}
 	t := time.NewTimer(wait)
--- a/internal/fleet/fleettest/rules.go
+++ b/internal/fleet/fleettest/rules.go
@@ -21,12 +21,12 @@
 // The exported fields are used under the lock of the workers.
 type Rules struct {
 	Jobs      map[string]ledger.Job
-	Cancelled map[string]time.Time // by the acknowledgement
-	Refused   map[string]bool      // jobs that were certainly not accepted
-	Alone     []string             // members of gangs that waited in vain
-	Calm      bool                 // no fault strikes in this history
-	Broken    []string             // promises that were broken
-	Starts    int                  // orders that were carried out
+	Cancelled map[string]time.Time  // by the acknowledgement
+	Refused   map[string]bool       // jobs that were certainly not accepted
+	Alone     []string              // members of gangs that waited in vain
+	Calm      bool                  // no fault strikes in this history
+	Broken    []string              // promises that were broken
+	Starts    map[leader.TaskID]int // orders that were carried out
 
 	done      map[leader.TaskID]bool
 	doneNoted map[leader.TaskID]bool // the system acknowledged an end as done
@@ -40,6 +40,7 @@
 		Jobs:      make(map[string]ledger.Job),
 		Cancelled: make(map[string]time.Time),
 		Refused:   make(map[string]bool),
+		Starts:    make(map[leader.TaskID]int),
 		done:      make(map[leader.TaskID]bool),
 		doneNoted: make(map[leader.TaskID]bool),
 		finished:  make(map[stepKey]bool),
@@ -57,7 +58,7 @@
 // started checks a start that a worker is about to carry out; false means that
 // it cannot, because nobody submitted the job.
 func (r *Rules) started(ws *Workers, w *Worker, o leader.StartOrder, late bool) bool {
-	r.Starts++
+	r.Starts[o.Task]++
 	j, ok := r.Jobs[o.Task.Job]
 	if !ok {
 		r.breach("UNASKED", "unknown job ", o.Task)
