--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -35,6 +35,8 @@
 	workerConns = 8
 	peerConns   = 4
 
+	machineConns = 1
+
 	// flushTime bounds the wait for the last log lines at the end.
 	flushTime = 200 * time.Millisecond
 )
@@ -100,6 +102,10 @@
 		},
 		ReadyOn: func(n *instance.Instance) http.Handler { return &platform.Ready{State: n.ReadyState} },
 	}
+	if set.Machines != "" {
+		machines := &platform.Machines{Client: platform.NewClient(machineConns), Addr: func() string { return file.current.Load().Machines }}
+		n.Machines = machines.List
+	}
 	n.PeersOn = func(*instance.Instance) http.Handler { return &platform.RelayHandler{Relay: way} }
 	n.Away = way.Away
 	n.Wire()
--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -172,6 +172,13 @@
 	return uint64(len(l.records))
 }
 
+// Records returns all records from the offset on.
+func (l *Log) Records(from uint64) [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[min(from, uint64(len(l.records))):]
+}
+
 // Heal ends all faults.
 func (l *Log) Heal() {
 	l.Set(func(f *LogFaults) {
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -57,7 +57,10 @@
 	Cut     map[string]bool // instances that cannot reach it
 	OneWay  bool            // cut instances' calls arrive, the answers do not
 	Leaving bool
+	Stays   time.Duration // while it leaves: the least time that it announces
 	Down    bool
+	// Unlisted keeps the worker out of the list of workers.
+	Unlisted bool
 
 	born    int64
 	booted  time.Time
@@ -361,16 +364,44 @@
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	w := ws.List[id]
+	if w == nil {
+		return
+	}
 	w.Down = true
 	w.runs = make(map[leader.TaskID]*taskRun)
 	w.notify()
 }
 
+// Leave announces that the worker leaves, and takes it away after the time.
+func (ws *Workers) Leave(id string, stays time.Duration) {
+	ws.Set(func() { ws.List[id].Leaving, ws.List[id].Stays = true, stays })
+	time.AfterFunc(stays, func() { ws.Remove(id) })
+}
+
+// Remove takes a worker away for good.
+func (ws *Workers) Remove(id string) {
+	ws.Crash(id)
+	ws.Set(func() { delete(ws.List, id) })
+}
+
+// Machines lists the machines of the workers that have not been taken away.
+func (ws *Workers) Machines() []leader.Machine {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	var out []leader.Machine
+	for id := range ws.List {
+		out = append(out, leader.Machine{Name: "machine of " + id, Worker: id})
+	}
+	return out
+}
+
 // Reboot starts a crashed worker again.
 func (ws *Workers) Reboot(id string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	ws.boot(ws.List[id])
+	if w := ws.List[id]; w != nil {
+		ws.boot(w)
+	}
 }
 
 // Set calls f under the lock of all workers.
@@ -386,8 +417,8 @@
 	defer ws.mu.Unlock()
 	var out []leader.Entry
 	for _, w := range ws.List {
-		if !w.Down {
-			out = append(out, leader.Entry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Rack: w.Rack, Labels: []string{"a", w.Rack}, Total: w.Total, Born: w.born, Draining: w.Leaving})
+		if !w.Down && !w.Unlisted {
+			out = append(out, leader.Entry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Rack: w.Rack, Labels: []string{"a", w.Rack}, Total: w.Total, Born: w.born, Draining: w.Leaving, Leaves: w.Stays})
 		}
 	}
 	return out
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -176,6 +176,12 @@
 				return rep, err
 			},
 		},
+		Machines: func(ctx context.Context) ([]leader.Machine, error) {
+			if err := gate(ctx); err != nil {
+				return nil, err
+			}
+			return c.workers.Machines(), nil
+		},
 		WatchWorkers: func(ctx context.Context, _ *zap.Logger, enlist func([]leader.Entry)) {
 			for ctx.Err() == nil {
 				if gate(ctx) == nil {
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -93,7 +93,7 @@
 			}
 			return n
 		}
-		switch kind := h.rnd.IntN(13); kind {
+		switch kind := h.rnd.IntN(14); kind {
 		case 0:
 			h.after(at, func() { h.c.restart(target()) })
 		case 1:
@@ -119,6 +119,9 @@
 			h.during(at, span, func(on bool) {
 				h.c.workers.Set(func() {
 					w := h.c.workers.List[worker]
+					if w == nil {
+						return
+					}
 					w.OneWay = oneWay
 					for _, n := range h.c.nodes {
 						w.Cut[n.name] = on
@@ -142,6 +145,8 @@
 			h.during(at, span, func(on bool) { h.c.workers.Set(func() { h.c.workers.Late = share * value(on) }) })
 		case 11:
 			h.during(at, span, func(on bool) { h.c.workers.Set(func() { h.c.workers.Lose = share * value(on) }) })
+		case 13:
+			h.after(at, func() { h.replace(worker, span/3) })
 		case 12:
 			h.after(at, func() {
 				for _, n := range h.c.nodes {
@@ -155,6 +160,19 @@
 	}
 }
 
+// replace takes a worker away after the notice; another one comes later.
+func (h *history) replace(id string, notice time.Duration) {
+	var old *fleettest.Worker
+	h.c.workers.Set(func() { old = h.c.workers.List[id] })
+	if old == nil {
+		return
+	}
+	h.c.workers.Leave(id, notice)
+	h.after(notice+4*time.Second, func() {
+		h.c.workers.Add(&fleettest.Worker{ID: id + "'", Service: service, Rack: old.Rack, Rate: old.Rate, Total: old.Total})
+	})
+}
+
 func (h *history) during(at, span time.Duration, f func(on bool)) {
 	h.after(at, func() { f(true) })
 	h.after(at+span, func() { f(false) })
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -79,6 +79,7 @@
 	Append       func(ctx context.Context, b feed.Batch) (uint64, error)
 	Read         func(ctx context.Context, from uint64, wait time.Duration) (feed.Page, error)
 	Orders       leader.Orders
+	Machines     func(ctx context.Context) ([]leader.Machine, error) // nil if the platform has no list
 	WatchConfig  func(ctx context.Context, current *policy.Current, log *zap.Logger)
 	WatchWorkers func(ctx context.Context, log *zap.Logger, enlist func([]leader.Entry))
 	CallersOn    func(n *Instance) http.Handler // the callers' interface
@@ -127,7 +128,7 @@
 
 // lead starts what the leader of an epoch does; the feed's lock is held.
 func (n *Instance) lead(ctx context.Context, epoch uint64, s *ledger.State) {
-	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Orders: n.Orders, Bounds: n.Settings.Bounds, Logger: n.Logger}
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Orders: n.Orders, Bounds: n.Settings.Bounds, Logger: n.Logger, Machines: n.Machines}
 	l.Init(ctx, s, nil)
 	n.leading.Store(l)
 	go l.Run()
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -21,6 +21,9 @@
 	Bounds Bounds
 	Logger *zap.Logger
 
+	// Machines, if set, reads the platform's list of machines.
+	Machines func(ctx context.Context) ([]Machine, error)
+
 	mu       sync.Mutex
 	workers  map[string]*worker
 	proposed map[ledger.UnitID]ledger.Start // starts that are not folded yet
@@ -138,20 +141,38 @@
 	l.Logger.Info("leader started", zap.Uint64("epoch", l.Epoch))
 	go l.carryLoop()
 	go l.reachLoop()
+	go l.departLoop()
 	l.planLoop()
 	l.Logger.Info("leader ended", zap.Uint64("epoch", l.Epoch))
 }
 
 // Enlist takes over what the platform's list says of all workers.
 func (l *Leader) Enlist(entries []Entry) {
+	leaving := l.enlist(entries)
+	l.poke()
+	if len(leaving) == 0 {
+		return
+	}
+	l.Feed.View(func(s *ledger.State) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, w := range leaving {
+			l.evacuate(w, s)
+		}
+	})
+}
+
+// enlist returns the workers that have begun to drain.
+func (l *Leader) enlist(entries []Entry) (leaving []*worker) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		w := l.worker(e.ID)
-		if w.listed && w.entry.Draining != e.Draining {
-			l.Logger.Info("worker draining", zap.String("worker", e.ID), zap.Bool("draining", e.Draining))
+		if e.Draining && !(w.listed && w.entry.Draining) {
+			leaving = append(leaving, w)
+			l.Logger.Info("worker draining", zap.String("worker", e.ID), zap.Duration("stays", e.Leaves), zap.Int("runs", len(w.runs)))
 		}
 		if !w.listed {
 			l.Logger.Debug("worker listed", zap.String("worker", e.ID), zap.String("addr", e.Addr), zap.String("rack", e.Rack))
@@ -166,7 +187,7 @@
 			l.Logger.Info("worker not listed", zap.String("worker", id), zap.Int("runs", len(w.runs)))
 		}
 	}
-	l.poke()
+	return leaving
 }
 
 // Applied takes note of a folded record; it is called with the feed's lock
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -27,7 +27,15 @@
 	Labels   []string
 	Total    plan.Room
 	Draining bool
-	Born     int64 // Unix ms of the start of its incarnation
+	Leaves   time.Duration // while it drains: the least time that it stays
+	Born     int64         // Unix ms of the start of its incarnation
+}
+
+// Machine is what the platform says of a machine, which carries one worker
+// after the other.
+type Machine struct {
+	Name   string
+	Worker string // id of the worker on it
 }
 
 // Target addresses one worker in one epoch.
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -256,12 +256,7 @@
 	if len(w.runs) == 0 || now.Before(lapse) || now.Sub(w.lastOK) < renewSilence {
 		return
 	}
-	var records []ledger.Record
-	for _, n := range w.runs {
-		if !n.ending {
-			records = append(records, l.end(n, ledger.Lost, n.saved, now))
-		}
-	}
+	records := l.lose(w)
 	if len(records) == 0 {
 		return
 	}
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -41,6 +41,8 @@
 	id     string
 	entry  Entry
 	listed bool
+	known  time.Time // since when this leader knows it
+	absent int       // lists of machines in a row that did not name it
 
 	silent  bool  // did not answer the last sync
 	looked  bool  // has answered in this epoch
@@ -71,6 +73,7 @@
 	return &worker{
 		id:      id,
 		lapse:   lapse,
+		known:   time.Now(),
 		runs:    make(map[runKey]*run),
 		foreign: make(map[runKey]time.Time),
 		failed:  make(map[string]time.Time),
