Do not acknowledge ends to a worker that may have restarted

A worker crashed and came back under its id; the next sync carried the count of ends of its earlier incarnation. The new one dropped an end that nobody had seen, the answer was lost, and the task ran again.

Change: a sync acknowledges ends only if the worker answered the last one and did so within 500 ms; otherwise the ends are reported again and acknowledged by the next sync. TestSafeAck fails without it.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -171,7 +171,7 @@
 func (l *Leader) look(w *worker) {
 	l.mu.Lock()
 	t := l.target(w)
-	ack := w.ack()
+	ack := w.safeAck(time.Now())
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -99,7 +99,7 @@
 	confirmed := l.confirmed()
 	l.mu.Lock()
 	t := l.target(w)
-	o := SyncOrder{Ack: w.ack()}
+	o := SyncOrder{Ack: w.safeAck(time.Now())}
 	if w.looked && ok && len(w.runs) > 0 {
 		if confirmed {
 			o.Until = w.until(l.Bounds.Lease)
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -22,6 +22,10 @@
 	// no longer extended, so that its runs certainly end.
 	renewSilence = 1500 * time.Millisecond
 
+	// ackFresh is how old a worker's answer may be for its count of ends to be
+	// acknowledged; a restart takes longer.
+	ackFresh = 500 * time.Millisecond
+
 	// suspectFor is how long a worker on which runs of several jobs failed is
 	// used last.
 	suspectFor = 6 * time.Second
@@ -153,6 +157,16 @@
 	return w.seenEnd
 }
 
+// safeAck is ack, or 0 if the worker may have restarted since its last answer:
+// a new incarnation counts its ends anew, and the acknowledgement would drop
+// one that nobody has seen.
+func (w *worker) safeAck(now time.Time) uint64 {
+	if w.silent || now.Sub(w.lastOK) > ackFresh {
+		return 0
+	}
+	return w.ack()
+}
+
 // unstored reports whether a reported end is not in the log yet.
 func (w *worker) unstored() bool {
 	for _, e := range w.ends {
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -69,3 +69,29 @@
 	w.stored(keys[2])
 	is.Equal(w.ack(), uint64(3))
 }
+
+// Guards against the acknowledgement of an end that nobody has seen: a worker
+// that has restarted counts its ends anew, and a stale count would drop them.
+// Found by history 478: a task ended on the new incarnation, the answer that
+// told so was lost, and the task ran again.
+func TestSafeAck(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name   string
+		silent bool
+		last   time.Time
+		want   uint64
+	}{
+		{"answered just now", false, now.Add(-10 * time.Millisecond), 5},
+		{"did not answer", true, now.Add(-10 * time.Millisecond), 0},
+		{"not asked for some time", false, now.Add(-3 * time.Second), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorker("w", now)
+			w.silent, w.lastOK, w.seenEnd = tt.silent, tt.last, 5
+			is.Equal(w.safeAck(now), tt.want)
+		})
+	}
+}
