Let guaranteed urgent work take room of urgent borrowers

Cause: a unit within its account's guarantee stopped less urgent work only. Where urgent work of accounts beyond their guarantees fills the workers, it waited for that to end (tasks of up to 8 s), beyond the bound within which guaranteed work has to begin.

Change: such a unit may also stop units of its own priority that are not within their account's guarantee, at twenty times their cost, so that less urgent work goes first. TestEvictionOfBorrowers fails without it.

--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -126,7 +126,7 @@
 	}
 	running := make(map[ledger.UnitID]*plan.Running)
 	for _, w := range l.workers {
-		l.describe(&in, s, w, now, running)
+		l.describe(&in, s, w, now, running, sure)
 	}
 	for id, h := range l.holds {
 		if now.After(h.until) {
@@ -226,7 +226,7 @@
 }
 
 // describe adds the worker and what runs on it.
-func (l *Leader) describe(in *plan.Input, s *ledger.State, w *worker, now time.Time, running map[ledger.UnitID]*plan.Running) {
+func (l *Leader) describe(in *plan.Input, s *ledger.State, w *worker, now time.Time, running map[ledger.UnitID]*plan.Running, sure map[string]bool) {
 	free := w.entry.Total
 	for _, n := range w.runs {
 		js := s.Jobs[n.unit.Job]
@@ -237,7 +237,7 @@
 		free = free.Sub(room(step))
 		v := running[n.unit]
 		if v == nil {
-			v = &plan.Running{ID: n.unit, Priority: js.Job.Priority, Need: room(step)}
+			v = &plan.Running{ID: n.unit, Priority: js.Job.Priority, Need: room(step), Sure: sure[js.Job.ID]}
 			running[n.unit] = v
 			in.Running = append(in.Running, v)
 		}
--- a/internal/fleet/plan/evict.go
+++ b/internal/fleet/plan/evict.go
@@ -66,18 +66,33 @@
 	return best
 }
 
-// victims returns the worker's less urgent units, in the order in which they
-// would be stopped, with their cost in lost core-seconds.
+// victims returns the worker's units that give way to the unit, in the order in
+// which they would be stopped, with their cost in lost core-seconds: less
+// urgent ones and, for a unit within its account's guarantee, as urgent ones
+// that run on room which others are guaranteed.
 func (r *round) victims(u *Waiting, w *Worker) ([]*Running, func(*Running) float64) {
-	var out []*Running
+	var out, borrowed []*Running
 	for _, v := range r.on[w.ID] {
-		if v.Priority > u.Priority {
+		switch {
+		case v.Priority > u.Priority:
 			out = append(out, v)
+		case v.Priority == u.Priority && u.Sure && !v.Sure:
+			borrowed = append(borrowed, v)
 		}
 	}
-	return out, lost
+	cost := func(v *Running) float64 {
+		if v.Priority > u.Priority {
+			return lost(v)
+		}
+		return borrowedFactor * lost(v)
+	}
+	return append(out, borrowed...), cost
 }
 
+// borrowedFactor weighs the lost work of a unit that is as urgent as the one
+// that it gives way to; less urgent work goes first.
+const borrowedFactor = 20
+
 // leavers returns the worker's units in the order in which they end, with
 // their cost in seconds.
 func (r *round) leavers(_ *Waiting, w *Worker) ([]*Running, func(*Running) float64) {
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -89,6 +89,7 @@
 	Workers  []string // of the members that have not ended
 	Unsaved  int64    // ms of work that a stop would lose
 	Left     int64    // ms until it ends, by its estimate
+	Sure     bool     // within its account's guarantee
 	Stopping bool
 }
 
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -117,6 +117,44 @@
 	is.Equal(len(out.Stops), 0)
 }
 
+// Guards against work within its account's guarantee that waits for urgent work
+// of accounts that use more than theirs, which no less urgent work can make
+// room for.
+func TestEvictionOfBorrowers(t *testing.T) {
+	tests := []struct {
+		name       string
+		sure       bool // the waiting unit
+		victimSure bool
+		other      bool // less urgent work could give way too
+		want       string
+	}{
+		{"borrower gives way", true, false, false, "borrower"},
+		{"less urgent work goes first", true, false, true, "low"},
+		{"guaranteed work stays", true, true, false, ""},
+		{"borrowers do not stop each other", false, false, false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ws := fleet(2)
+			running := []*Running{fill(ws, "borrower", 0, 8, 100, 0), fill(ws, "guaranteed", 0, 8, 100, 1)}
+			running[0].Sure, running[1].Sure = tt.victimSure, true
+			if tt.other {
+				ws = append(ws, fleet(3)[2])
+				running = append(running, fill(ws, "low", 2, 8, 900, 2))
+			}
+			u := unit("urgent", 0, 1, 4)
+			u.Sure = tt.sure
+			out := Decide(Input{Workers: ws, Waiting: []*Waiting{u}, Running: running})
+			got := ""
+			for _, v := range out.Stops {
+				got += v.ID.Job
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
 // Guards against room that was freed for one unit and is taken by another.
 func TestHeldRoom(t *testing.T) {
 	is := is.New(t)
