--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -100,8 +100,9 @@
 	// workers needs; instances with less leave the leadership to others.
 	leaderShare = 0.3
 
-	// smallHandicap is how much later they claim it.
-	smallHandicap = 500 * time.Millisecond
+	// smallHandicap is how much later they claim it: longer than one long poll
+	// of the log, after which all look at the same time.
+	smallHandicap = 700 * time.Millisecond
 )
 
 // handicap returns how much later than others the instance claims.
