Use slow workers last and silent ones not at all

Cause: a gang is as slow as its slowest member. Starts went to workers that had not answered the last sync, were given up after 2 s and repeated when the lease had ended, 4 s later.

A worker that did not answer the last sync gets no starts.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -58,8 +58,7 @@
 	accepted  time.Time // the worker's answer; zero while unknown
 	seen      bool      // listed as running
 	saved     string
-	percent   float64
-	savedAt   float64 // percent at the newest checkpoint
+	progress  sample
 	stopping  bool
 	ending    bool // its end is proposed
 }
@@ -142,6 +141,7 @@
 	go l.carryLoop()
 	go l.reachLoop()
 	go l.departLoop()
+	go l.progressLoop()
 	l.planLoop()
 	l.Logger.Info("leader ended", zap.Uint64("epoch", l.Epoch))
 }
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -212,10 +212,9 @@
 		n.accepted = time.Now()
 	}
 	n.seen = true
-	n.percent = t.Percent
-	if t.Saved != "" && t.Saved != n.saved {
+	n.progress.add(t.Percent, time.Now())
+	if t.Saved != "" {
 		n.saved = t.Saved
-		n.savedAt = t.Percent
 	}
 }
 
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -56,6 +56,7 @@
 	lastOK  time.Time // last answer
 	lapse   time.Time // when all leases that were asked for have ended
 	refused time.Time // last refusal as unhealthy
+	slow    time.Time // last time at which a run here was slow
 
 	runs    map[runKey]*run
 	foreign map[runKey]time.Time // runs that are not in the state, with the time of the last stop order
@@ -95,13 +96,17 @@
 
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.looked && !w.entry.Draining && len(w.foreign) == 0 &&
+	return w.listed && w.looked && !w.silent && !w.entry.Draining && len(w.foreign) == 0 &&
 		now.Sub(w.lastOK) < idleSync+renewSilence && now.Sub(w.refused) > refusedPause &&
 		(w.entry.Born == 0 || w.entry.Born == w.born)
 }
 
-// suspect reports whether runs of several jobs failed here lately.
+// suspect reports whether runs of several jobs failed here lately, or runs
+// were slow.
 func (w *worker) suspect(now time.Time) bool {
+	if now.Sub(w.slow) < slowFor {
+		return true
+	}
 	n := 0
 	for job, at := range w.failed {
 		if now.Sub(at) > suspectFor {
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -95,3 +95,56 @@
 		})
 	}
 }
+
+// Guards against new runs on a worker that does not answer: their orders are
+// given up after 2 s, and started again only when the lease has ended.
+func TestUsable(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name   string
+		change func(w *worker)
+		want   bool
+	}{
+		{"answers", func(*worker) {}, true},
+		{"did not answer", func(w *worker) { w.silent = true }, false},
+		{"not listed", func(w *worker) { w.listed = false }, false},
+		{"not asked yet", func(w *worker) { w.looked = false }, false},
+		{"draining", func(w *worker) { w.entry.Draining = true }, false},
+		{"refused just now", func(w *worker) { w.refused = now }, false},
+		{"another incarnation is listed", func(w *worker) { w.entry.Born = 2 }, false},
+		{"runs what is not in the state", func(w *worker) { w.foreign[runKey{}] = now }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorker("w", now)
+			w.listed, w.looked, w.lastOK, w.born, w.entry.Born = true, true, now, 1, 1
+			tt.change(w)
+			is.Equal(w.usable(now), tt.want)
+		})
+	}
+}
+
+// Guards against a slow worker that goes on getting new work: the members of a
+// gang on other workers are much faster.
+func TestSlowWorker(t *testing.T) {
+	is := is.New(t)
+	l := testLeader()
+	s := ledger.NewState()
+	j := ledger.Job{ID: "a", Steps: []ledger.Step{{Count: 3, Gang: true}}}
+	s.Apply(0, ledger.Record{Submit: &j})
+	now := time.Now()
+	for i, percent := range []float64{30, 29, 3} {
+		w := newWorker(string(rune('a'+i)), now)
+		l.workers[w.id] = w
+		n := &run{key: runKey{TaskID{Job: "a", Index: i}, 1}, unit: ledger.UnitID{Job: "a"}, member: i}
+		n.progress.add(0, now.Add(-time.Second))
+		n.progress.add(percent, now)
+		w.runs[n.key] = n
+	}
+	l.compare(s, now)
+	for id, want := range map[string]bool{"a": false, "b": false, "c": true} {
+		is.Equal(l.workers[id].suspect(now), want) // id
+	}
+	is.True(!l.workers["c"].suspect(now.Add(2 * slowFor))) // it may have recovered
+}
--- a/internal/fleet/plan/evict.go
+++ b/internal/fleet/plan/evict.go
@@ -89,6 +89,10 @@
 	return append(out, borrowed...), cost
 }
 
+// suspectCost keeps units that need room from workers on which runs fail or
+// are slow, in core-seconds.
+const suspectCost = 10000
+
 // borrowedFactor weighs the lost work of a unit that is as urgent as the one
 // that it gives way to; less urgent work goes first.
 const borrowedFactor = 20
@@ -180,6 +184,9 @@
 				continue
 			}
 			vs, cost, ok := r.makeRoom(u, w, free[w.ID], gone, candidates)
+			if w.Suspect {
+				cost += suspectCost
+			}
 			if ok && (at == nil || cost < least) {
 				at, victims, least = w, vs, cost
 				if cost == 0 {
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -117,6 +117,18 @@
 	is.Equal(len(out.Stops), 0)
 }
 
+// Guards against urgent units that make room on a worker on which runs fail or
+// are slow, because less is lost there.
+func TestEvictionAvoidsSuspects(t *testing.T) {
+	is := is.New(t)
+	ws := fleet(2)
+	running := []*Running{fill(ws, "short", 2, 8, 100, 0), fill(ws, "long", 2, 8, 9000, 1)}
+	ws[0].Suspect = true
+	out := Decide(Input{Workers: ws, Waiting: []*Waiting{unit("urgent", 0, 1, 4)}, Running: running})
+	is.Equal(len(out.Stops), 1)
+	is.Equal(out.Stops[0].ID.Job, "long")
+}
+
 // Guards against work within its account's guarantee that waits for urgent work
 // of accounts that use more than theirs, which no less urgent work can make
 // room for.
