--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -28,6 +28,9 @@
 	// retryPause separates reads of a log that fails.
 	retryPause = 120 * time.Millisecond
 
+	// recheckTime bounds the look at whether a log that was lost is back.
+	recheckTime = 60 * time.Millisecond
+
 	// StaleAfter is how long reads may fail before the state is called stale.
 	StaleAfter = 2 * time.Second
 
@@ -374,6 +377,15 @@
 	return f.failing
 }
 
+// Recheck reads the log once, in a short time, and reports whether it can be
+// read again.
+func (f *Feed) Recheck(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, recheckTime)
+	defer cancel()
+	_, err := f.poll(ctx, 0)
+	return err == nil
+}
+
 // Outage returns how long reads of the log have failed.
 func (f *Feed) Outage() time.Duration {
 	f.mu.Lock()
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -124,3 +125,24 @@
 	})
 	is.Equal(r.Broken, nil)
 }
+
+// Guards against callers who are refused although the log is back: with little
+// time left this was their last try.
+func TestLogJustBack(t *testing.T) {
+	is := is.New(t)
+	play(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		c.log.Set(func(l *fleettest.LogFaults) { l.Refusing = true })
+		time.Sleep(4 * time.Second)
+		j := job("a", ledger.Step{Count: 1, GPU: 1, Estimate: 500})
+		c.workers.Set(func() { c.rules.Jobs["a"] = j })
+		submit := func() string {
+			ctx, cancel := context.WithTimeout(c.ctx, 100*time.Millisecond)
+			defer cancel()
+			return c.nodes[1].instance().Intake.Submit(ctx, config().Route("lane", "/1/"), "schools", j).Fate.String()
+		}
+		is.Equal(submit(), "notrun")
+		c.log.Heal()
+		is.Equal(submit(), "accepted")
+	})
+}
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -17,8 +17,11 @@
 	// retryPause separates appends that the log refused.
 	retryPause = 150 * time.Millisecond
 
-	// answerReserve is the part of a caller's time that is kept for the answer.
-	answerReserve = 150 * time.Millisecond
+	// answerReserve is the part of a caller's time that is kept for the answer,
+	// some milliseconds of network and the time of a busy instance. Callers
+	// that were refused during an outage have little time left for their last
+	// try.
+	answerReserve = 50 * time.Millisecond
 
 	// defaultTime is the time of callers that name none.
 	defaultTime = 3 * time.Second
@@ -174,7 +177,7 @@
 		if n.view(known) {
 			return Answer{Fate: Accepted, Cause: "known"}
 		}
-		if n.Feed.Down() {
+		if n.Feed.Down() && !n.Feed.Recheck(ctx) {
 			// Sent now, the request's fate might be unknown; unsent, it is
 			// certain and the caller may try another instance.
 			cause = &DownError{}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -15,11 +15,16 @@
 const (
 	// probePeriod separates the direct calls that find out whether the store
 	// serves this instance again.
-	probePeriod = 150 * time.Millisecond
+	probePeriod = 60 * time.Millisecond
 
-	// probeTimeout bounds one of them.
+	// probeTimeout bounds one of them; a slow store takes some hundred
+	// milliseconds.
 	probeTimeout = 400 * time.Millisecond
 
+	// probeWait is how long a call waits for one of them: the store answers in
+	// some milliseconds when it serves this instance.
+	probeWait = 40 * time.Millisecond
+
 	// restPeriod is how long no peer is asked after one could not help: the
 	// store is then away for all.
 	restPeriod = 200 * time.Millisecond
@@ -57,9 +62,9 @@
 	mu      sync.Mutex
 	missed  int // calls in a row that failed
 	bad     bool
-	since   time.Time // the store turns this instance away since then
-	helper  string    // peer that helped last
-	probing bool
+	since   time.Time     // the store turns this instance away since then
+	helper  string        // peer that helped last
+	probing chan struct{} // closed when the probe under way has ended; nil without one
 	probed  time.Time
 	rest    time.Time // until then no peer is asked
 }
@@ -72,7 +77,7 @@
 
 // Do makes the call.
 func (r *Relay) Do(ctx context.Context, c Call) (Reply, bool, error) {
-	if r.serving() || len(r.Peers()) == 0 {
+	if r.serving() || r.recovered(ctx) || len(r.Peers()) == 0 {
 		rep, sent, err := r.Direct(ctx, c)
 		if r.judge(rep, err) || ctx.Err() != nil {
 			return rep, sent, err
@@ -83,10 +88,26 @@
 		}
 		return relayed, true, nil
 	}
-	r.probe()
 	return r.relay(ctx, c)
 }
 
+// recovered probes the store, unless it was probed just now, and reports
+// whether it serves this instance again.
+func (r *Relay) recovered(ctx context.Context) bool {
+	ended := r.probe()
+	if ended == nil {
+		return false
+	}
+	t := time.NewTimer(probeWait)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return r.serving()
+}
+
 // serving reports whether the store served this instance lately.
 func (r *Relay) serving() bool {
 	r.mu.Lock()
@@ -166,27 +187,34 @@
 }
 
 // probe finds out beside the calls whether the store serves this instance
-// again.
-func (r *Relay) probe() {
+// again. It returns a channel that is closed when the probe under way has
+// ended, or nil if the last one ended just now.
+func (r *Relay) probe() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.probing || time.Since(r.probed) < probePeriod {
-		return
+	if r.probing != nil {
+		return r.probing
+	}
+	if time.Since(r.probed) < probePeriod {
+		return nil
 	}
-	r.probing = true
 	r.probed = time.Now()
+	ended := make(chan struct{})
+	r.probing = ended
 	go func() {
+		defer close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		rep, _, err := r.Direct(ctx, r.Probe)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.probing = false
+		r.probing = nil
 		if err == nil && rep.Status < http.StatusInternalServerError && rep.Status != http.StatusTooManyRequests {
 			r.bad, r.missed = false, 0
-			r.Logger.Info("store serves this instance again")
+			r.Logger.Info("store serves this instance again", zap.Duration("away", time.Since(r.since)))
 		}
 	}()
+	return ended
 }
 
 // Serve makes a peer's call if the store serves this instance; otherwise it
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -111,3 +112,35 @@
 	is.NoErr(err)
 	is.Equal(relayed, before)
 }
+
+// Guards against calls that fail after the store has come back, because the
+// last probe found it away.
+func TestRecovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		up := false
+		r := &Relay{
+			Direct: func(context.Context, Call) (Reply, bool, error) {
+				time.Sleep(4 * time.Millisecond) // the store's time to answer
+				if up {
+					return Reply{Status: http.StatusOK}, true, nil
+				}
+				return Reply{Status: http.StatusServiceUnavailable}, true, nil
+			},
+			Peer:   func(context.Context, string, Call) (Reply, bool, error) { return Reply{}, true, errReset },
+			Peers:  func() []string { return []string{"p"} },
+			Logger: zap.NewNop(),
+		}
+		for range 10 {
+			_, _, _ = r.Do(t.Context(), Call{}) // the store is away
+			time.Sleep(2 * probePeriod)
+		}
+		is.True(r.Away() > 0)
+		up = true
+		rep, sent, err := r.Do(t.Context(), Call{})
+		is.NoErr(err)
+		is.True(sent)
+		is.Equal(rep.Status, http.StatusOK)
+		is.Equal(r.Away(), time.Duration(0))
+	})
+}
