--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -374,7 +376,11 @@
 
 // Leave announces that the worker leaves, and takes it away after the time.
 func (ws *Workers) Leave(id string, stays time.Duration) {
-	ws.Set(func() { ws.List[id].Leaving, ws.List[id].Stays = true, stays })
+	ws.Set(func() {
+		if w := ws.List[id]; w != nil {
+			w.Leaving, w.Stays = true, stays
+		}
+	})
 	time.AfterFunc(stays, func() { ws.Remove(id) })
 }
 
@@ -389,7 +395,7 @@
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	var out []leader.Machine
-	for id := range ws.List {
+	for _, id := range slices.Sorted(maps.Keys(ws.List)) {
 		out = append(out, leader.Machine{Name: "machine of " + id, Worker: id})
 	}
 	return out
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/fleettest"
@@ -34,6 +37,33 @@
 	nodes   []*node
 	ctx     context.Context
 	change  func(s *Settings)
+	lines   *logLines
+}
+
+// logLines gathers the lines that all instances log.
+type logLines struct {
+	core zapcore.Core
+	seen *observer.ObservedLogs
+}
+
+func newLogLines() *logLines {
+	core, seen := observer.New(zap.InfoLevel)
+	return &logLines{core, seen}
+}
+
+// about returns the messages of the lines about the job, each behind the name
+// of its instance, in the order of time.
+func (l *logLines) about(job string) []string {
+	var out []string
+	for _, e := range l.seen.All() {
+		fields := e.ContextMap()
+		id, _ := fields["job"].(string)
+		unit, _ := fields["unit"].(string)
+		if id == job || strings.HasPrefix(unit, job+".") {
+			out = append(out, e.LoggerName+" "+e.Message)
+		}
+	}
+	return out
 }
 
 // node is one instance and what is done to it.
@@ -82,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, change: change}
+		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, change: change, lines: newLogLines()}
 		c.workers = fleettest.NewWorkers(rand.New(rand.NewPCG(seed, 3)), r)
 		for i := range workers {
 			c.workers.Add(&fleettest.Worker{
@@ -131,7 +161,7 @@
 			return nil
 		}
 	}
-	log := zap.NewNop()
+	log := zap.New(c.lines.core).Named(n.name)
 	if os.Getenv("LANE_TEST_LOG") != "" {
 		log = zap.Must(zap.NewDevelopment()).Named(n.name)
 	}
--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -110,6 +110,7 @@
 	var records []ledger.Record
 	for _, n := range w.runs {
 		if !n.ending {
+			l.Logger.Info("run left behind", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Duration("silent", now.Sub(w.lastOK)))
 			records = append(records, l.end(n, ledger.Lost, n.saved, now))
 		}
 	}
