--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -223,6 +223,7 @@
 			for c.phase(c.leader(), id) != ledger.Finished {
 				time.Sleep(time.Millisecond)
 			}
+			time.Sleep(110 * time.Millisecond) // an answer may be 100 ms old
 			for _, n := range c.nodes {
 				is.Equal(c.phase(n, id), ledger.Finished)
 			}
