--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -43,14 +43,6 @@
 	// StaleAfter is how long reads may fail before the state is called stale.
 	StaleAfter = 2 * time.Second
 
-	// silence is how long a leader may append nothing before others claim its
-	// place; a claim on a live leader is safe but costs a takeover.
-	silence = 1600 * time.Millisecond
-
-	// spread separates the claims of several instances; the first to append
-	// wins and the others read its claim before they try.
-	spread = 400 * time.Millisecond
-
 	// retain is how long ended jobs are kept in memory.
 	retain = 4 * time.Minute
 
@@ -99,15 +91,6 @@
 	syncing  chan struct{} // holds a token while a Sync reads
 }
 
-// term is the epoch that this instance leads.
-type term struct {
-	epoch    uint64
-	yielding bool // its resignation is proposed
-	cancel   context.CancelFunc
-	queue    []ledger.Record
-	wake     chan struct{}
-}
-
 // Run reads and folds the log until the context ends.
 func (f *Feed) Run(ctx context.Context) error {
 	f.mu.Lock()
@@ -263,96 +246,6 @@
 	}
 }
 
-// elected ends this instance's term or begins one; it is called with the lock
-// held.
-func (f *Feed) elected(c ledger.Claim) {
-	if f.lead != nil {
-		f.lead.cancel()
-		f.lead = nil
-		f.Logger.Warn("leadership lost", zap.Uint64("epoch", c.Epoch), zap.String("to", c.Node))
-	}
-	if c.Boot != f.Boot || c.Node != f.Node {
-		f.Logger.Info("leader elected", zap.Uint64("epoch", c.Epoch), zap.String("leader", c.Node))
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	f.lead = &term{epoch: c.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
-	f.Logger.Info("leading", zap.Uint64("epoch", c.Epoch), zap.Uint64("offset", f.next))
-	go f.commitLoop(ctx, f.lead)
-	if f.OnLead != nil {
-		f.OnLead(ctx, c.Epoch, f.state)
-	}
-}
-
-// resigned ends this instance's term if it is the one that was handed over; it
-// is called with the lock held.
-func (f *Feed) resigned(epoch uint64) {
-	if f.lead != nil && f.lead.epoch == epoch {
-		f.Logger.Info("leadership ended", zap.Uint64("epoch", epoch), zap.String("cause", "resigned"))
-		f.lead.cancel()
-		f.lead = nil
-	}
-}
-
-// shouldClaim reports whether the leader has gone.
-func (f *Feed) shouldClaim(jitter time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.caught || f.failing || f.lead != nil || f.quiet {
-		return false
-	}
-	if time.Now().Before(f.yielded) {
-		return false
-	}
-	since := time.Since(f.lastSign)
-	if f.state.Vacant {
-		return since > f.Handicap+jitter/4
-	}
-	// An earlier incarnation of this instance no longer leads.
-	if f.state.Leader.Node == f.Node && f.state.Leader.Boot != f.Boot {
-		return true
-	}
-	return since > silence+f.Handicap+jitter
-}
-
-// claim tries to become the leader of the next epoch. The outcome is read from
-// the log.
-func (f *Feed) claim(ctx context.Context) {
-	f.mu.Lock()
-	at := f.next
-	epoch := max(f.state.Epoch+1, f.floor)
-	silent := time.Since(f.lastSign)
-	f.lastSign = time.Now()
-	f.mu.Unlock()
-	data, err := ledger.Encode(ledger.Record{Claim: &ledger.Claim{Epoch: epoch, Node: f.Node, Boot: f.Boot}})
-	if err != nil {
-		f.Logger.Error("claim not encoded", zap.Error(err))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	_, err = f.Append(ctx, Batch{Records: [][]byte{data}, At: &at, Epoch: epoch, Seq: 1})
-	var fenced *FencedError
-	if errors.As(err, &fenced) {
-		// A claim that did not take effect may have used the epoch up.
-		f.mu.Lock()
-		f.floor = epoch + 1
-		f.mu.Unlock()
-	}
-	f.Logger.Info("claim", zap.Uint64("epoch", epoch), zap.Uint64("at", at), zap.Duration("silent", silent), zap.Error(err))
-}
-
-func (f *Feed) stepDown(cause string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lead == nil {
-		return
-	}
-	f.Logger.Info("leadership ended", zap.Uint64("epoch", f.lead.epoch), zap.String("cause", cause))
-	f.lead.cancel()
-	f.lead = nil
-}
-
 func (f *Feed) forget() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -363,13 +256,6 @@
 	f.state.Forget(time.Now().Add(-retain).UnixMilli())
 }
 
-// Leading reports whether this instance leads.
-func (f *Feed) Leading() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lead != nil
-}
-
 // Status is how current the state is.
 type Status struct {
 	Caught bool          // the log has been read to its end once
@@ -490,43 +376,3 @@
 	f.init()
 	f.fold(Page{From: offset, Records: records})
 }
-
-// Retire makes the instance hand its leadership over and never claim again.
-func (f *Feed) Retire(ctx context.Context) {
-	f.mu.Lock()
-	f.quiet = true
-	lead := f.lead
-	f.mu.Unlock()
-	if lead == nil {
-		return
-	}
-	f.Propose(lead.epoch, ledger.Record{Resign: &ledger.Beat{Epoch: lead.epoch}})
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		gone := f.state.Vacant || f.lead != lead
-		wait := f.changed
-		f.mu.Unlock()
-		if gone {
-			break
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-		}
-	}
-	f.stepDown("resigned")
-}
-
-// Yield hands the leadership of the epoch over and claims none for the time. It
-// reports whether it was not under way already.
-func (f *Feed) Yield(epoch uint64, pause time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lead == nil || f.lead.epoch != epoch || f.lead.yielding {
-		return false
-	}
-	f.lead.yielding = true
-	f.yielded = time.Now().Add(pause)
-	f.ProposeLocked(epoch, ledger.Record{Resign: &ledger.Beat{Epoch: epoch}})
-	return true
-}
