--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -59,15 +59,15 @@
 func (l *Leader) anyMissing() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	any := false
+	found := false
 	for _, w := range l.workers {
 		if !w.missing() {
 			w.absent = 0
 			continue
 		}
-		any = true
+		found = true
 	}
-	return any
+	return found
 }
 
 // missing reports whether the worker has runs and neither answers nor is so
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -62,10 +62,6 @@
 	return out
 }
 
-func times(r plan.Room, n int) plan.Room {
-	return plan.Room{CPU: int64(n) * r.CPU, Memory: int64(n) * r.Memory, GPU: int64(n) * r.GPU}
-}
-
 // hold is room that is kept for a unit.
 type hold struct {
 	plan.Hold
@@ -140,7 +136,7 @@
 	}
 	for _, v := range out.Stops {
 		l.stopUnit(v.ID, "preempted")
-		l.taken = append(l.taken, takeback{time.Now(), v.Priority, times(v.Need, len(v.Workers))})
+		l.taken = append(l.taken, takeback{time.Now(), v.Priority, v.Need.Mul(int64(len(v.Workers)))})
 	}
 }
 
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -18,6 +18,9 @@
 // Sub returns the difference.
 func (r Room) Sub(o Room) Room { return Room{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU} }
 
+// Mul returns n times the room.
+func (r Room) Mul(n int64) Room { return Room{n * r.CPU, n * r.Memory, n * r.GPU} }
+
 // gpuCores weighs a GPU against processor cores in the cost of lost work.
 const gpuCores = 8
 
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -132,7 +132,7 @@
 func (r *round) keep(h Hold, sign int64) {
 	for _, id := range h.Workers {
 		if w := r.workers[id]; w != nil {
-			w.Free = w.Free.Sub(Room{sign * h.Need.CPU, sign * h.Need.Memory, sign * h.Need.GPU})
+			w.Free = w.Free.Sub(h.Need.Mul(sign))
 		}
 	}
 }
@@ -205,7 +205,7 @@
 		if r.spread(u, w, int(n)) < int(n) {
 			return false // other tasks of the step have started there meanwhile
 		}
-		if !w.Free.Fits(Room{n * u.Need.CPU, n * u.Need.Memory, n * u.Need.GPU}) {
+		if !w.Free.Fits(u.Need.Mul(n)) {
 			return false
 		}
 	}
