--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -28,7 +28,6 @@
 	workers  map[string]*worker
 	proposed map[ledger.UnitID]ledger.Start // starts that are not folded yet
 	holds    map[ledger.UnitID]hold
-	taken    []takeback              // by time
 	since    map[ledger.UnitID]int64 // Unix ms at which a waiting unit was first seen
 	wake     chan struct{}
 	ctx      context.Context
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -36,32 +36,6 @@
 	dueMargin = 20 // ms
 )
 
-// takeFor is how long room that was taken back shows that urgent work comes in
-// a burst and will take more.
-const takeFor = 2 * time.Second
-
-// takeback is room that units of a priority gave up to more urgent work.
-type takeback struct {
-	at       time.Time
-	priority int
-	room     plan.Room
-}
-
-// takenLately returns the room that was taken back from each priority; the
-// lock is held.
-func (l *Leader) takenLately(now time.Time) map[int]plan.Room {
-	i := 0
-	for i < len(l.taken) && now.Sub(l.taken[i].at) > takeFor {
-		i++
-	}
-	l.taken = l.taken[i:]
-	out := make(map[int]plan.Room)
-	for _, t := range l.taken {
-		out[t.priority] = out[t.priority].Add(t.room)
-	}
-	return out
-}
-
 // hold is room that is kept for a unit.
 type hold struct {
 	plan.Hold
@@ -136,14 +110,13 @@
 	}
 	for _, v := range out.Stops {
 		l.stopUnit(v.ID, "preempted")
-		l.taken = append(l.taken, takeback{time.Now(), v.Priority, v.Need.Mul(int64(len(v.Workers)))})
 	}
 }
 
 // input describes the state to the planner; both locks are held.
 func (l *Leader) input(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
-	in := plan.Input{Now: now.UnixMilli(), Taken: l.takenLately(now)}
+	in := plan.Input{Now: now.UnixMilli()}
 	sure := guaranteed(s, cfg)
 	beside := make(map[stepKey]map[string]int)
 	for _, js := range s.Jobs {
@@ -214,7 +187,6 @@
 			Since: since, Accepted: max(js.Job.Accepted, js.Job.Due(u.ID.Occurrence)), Late: late(js, u, in.Now),
 			Width: js.Width(u), Need: room(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			Apart: step.Apart, Beside: beside[key], Estimate: step.Estimate, Avoid: u.FailedOn, Sure: sure,
-			Saves: step.Checkpointable,
 		})
 	}
 }
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -82,7 +82,6 @@
 	Estimate int64          // ms
 	Avoid    []string       // workers on which it failed
 	Sure     bool           // within its account's guarantee
-	Saves    bool           // a stop keeps its work
 }
 
 // Running is a unit with a run that has not ended.
@@ -113,10 +112,6 @@
 	Waiting []*Waiting
 	Running []*Running
 	Holds   []Hold
-
-	// Taken is the room that was taken back lately from units of each
-	// priority.
-	Taken map[int]Room
 }
 
 // Start assigns a unit to workers, one for each task.
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -140,9 +140,6 @@
 // place starts the unit, or makes room for it, and reports whether its step's
 // other tasks should be tried as well.
 func (r *round) place(u *Waiting) bool {
-	if r.atRisk(u) {
-		return false
-	}
 	r.relent(u)
 	if h, ok := r.held[u.ID]; ok {
 		r.keep(h, -1)
@@ -168,23 +165,6 @@
 	return wait > drainWait && r.drain(u)
 }
 
-// atRisk reports whether the unit would probably be stopped for the sake of
-// more urgent work and lose what it did: as much room as was lately taken back
-// from units of its priority is not free.
-func (r *round) atRisk(u *Waiting) bool {
-	taken := r.in.Taken[u.Priority]
-	if u.Priority == 0 || u.Saves || taken == (Room{}) {
-		return false
-	}
-	free := Room{}
-	for _, w := range r.in.Workers {
-		if w.Service == u.Service && w.Free.GPU >= 0 {
-			free = free.Add(w.Free)
-		}
-	}
-	return !free.Fits(taken.Add(u.Need))
-}
-
 // relent lets the unit back onto workers on which it failed if the others
 // could not hold it, or have not for long.
 func (r *round) relent(u *Waiting) {
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -117,34 +117,6 @@
 	is.Equal(len(out.Stops), 0)
 }
 
-// Guards against work that starts in each gap while urgent work keeps taking
-// room back, and is stopped again and again without having saved anything.
-func TestAtRisk(t *testing.T) {
-	tests := []struct {
-		name     string
-		priority int
-		saves    bool
-		taken    map[int]Room
-		want     bool // starts
-	}{
-		{"nothing taken back", 2, false, nil, true},
-		{"less is free than was taken back", 2, false, map[int]Room{2: {GPU: 16}}, false},
-		{"more is free than was taken back", 2, false, map[int]Room{2: {GPU: 8}}, true},
-		{"keeps its work", 2, true, map[int]Room{2: {GPU: 16}}, true},
-		{"taken back from another priority", 1, false, map[int]Room{2: {GPU: 16}}, true},
-		{"urgent", 0, false, map[int]Room{0: {GPU: 16}}, true},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			u := unit("a", tt.priority, 1, 4)
-			u.Saves = tt.saves
-			out := Decide(Input{Workers: fleet(2), Waiting: []*Waiting{u}, Taken: tt.taken})
-			is.Equal(len(out.Starts) == 1, tt.want)
-		})
-	}
-}
-
 // Guards against urgent units that make room on a worker on which runs fail or
 // are slow, because less is lost there.
 func TestEvictionAvoidsSuspects(t *testing.T) {
