Keep a worker's strikes when leftover work ends well in quarantine

Cause: a task that still ran on the worker when it was set aside for the second time ended well and cleared its strikes. The delay until the next probe then started over instead of doubling. Ruled out: the rule of the delay itself (Quarantine.Due has its own test) and the lateness of the test's loop.

Change: a success counts against the strikes only while the worker is in service. The test compares the fold's clock at the two changes with the whole second delay, which is stricter than before. TestStrikesOutlastSuccess fails without the change.

--- a/state/remove_test.go
+++ b/state/remove_test.go
@@ -60,3 +60,20 @@
 		})
 	}
 }
+
+// TestStrikesOutlastSuccess guards against a quarantine whose growing delay
+// starts over because work that still ran on the worker ends well.
+func TestStrikesOutlastSuccess(t *testing.T) {
+	is := is.New(t)
+	c := newScene(t)
+	w := c.s.Workers[2]
+	j := c.run("j", "asha", false, 2)
+	c.ok("a", record.KindHealth, record.Health{Worker: 2, Revision: w.Revision, Condition: record.ConditionAside, Cause: CauseFailures})
+	c.report(j, 2, record.OutcomeDone)
+	is.Equal(j.Phase, JobDone)
+	is.Equal(w.Strikes, uint32(1))
+	c.health(2, record.ConditionReady)
+	probe := c.run("probe", "asha", false, 2)
+	c.report(probe, 2, record.OutcomeDone)
+	is.Equal(w.Strikes, uint32(0))
+}
--- a/state/worker.go
+++ b/state/worker.go
@@ -191,11 +191,14 @@
 	return w.Failed > w.Done && slices.ContainsFunc(w.Failures, func(f Failure) bool { return f.Account != w.Failures[0].Account })
 }
 
-// succeeded notes that members of a job were done on the worker; it is then no
-// longer on probation.
+// succeeded notes that members of a job were done on the worker. It is then no
+// longer on probation, unless it has been set aside meanwhile: what still ran
+// there says nothing of the next probe.
 func (w *Worker) succeeded() {
 	w.Done++
-	w.Strikes = 0
+	if w.Condition != record.ConditionAside {
+		w.Strikes = 0
+	}
 	w.age()
 }
 
--- a/worker/keeper_test.go
+++ b/worker/keeper_test.go
@@ -311,10 +311,14 @@
 	}
 	feed("w1 is set aside", aside(1))
 	feed("w1 was probed and is set aside again", aside(2))
-	began := time.Now()
+	var began, back int64 // fold's clock at the two changes, in milliseconds
+	c.view(func(s *state.State) { began = s.Workers[1].Since })
 	c.workers.Fault(standin.WorkerFault{Worker: "w1"})
-	feed("w1 succeeds again", func(s *state.State) bool { return s.Workers[1].Ready() && s.Workers[1].Strikes == 0 })
-	is.True(time.Since(began) > probe) // the second wait is twice the first
+	feed("w1 succeeds again", func(s *state.State) bool {
+		back = s.Workers[1].Since
+		return s.Workers[1].Ready() && s.Workers[1].Strikes == 0
+	})
+	is.True(back-began >= 2*probe.Milliseconds()) // the second wait is twice the first
 	c.view(func(s *state.State) {
 		for _, j := range s.Jobs {
 			is.True(j.Phase != state.JobFailed) // no job suffered from the worker
