Repeat a claim without its condition after records of others

The log shows more than 60 claims that failed with "log ends at": the store answered in about 240 ms, submissions kept coming at 15 to 20 a second, and a claim holds only if the log has not moved since it was read.

Ruled out: the leader's shutdown (it resigned within 0.26 s), the outage of the store (its reads succeeded), and the handicap of small instances (the large ones claimed first, and failed).

Change: an instance whose claim came too late reads up to the end that it was told and, if no leader has shown itself by then, claims without the condition. That is safe: of several claims of one epoch the log takes the first, since the others repeat its epoch and number, and the outcome is read from the log as before. The line of the claim tells whether it was conditional.

--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -70,6 +70,9 @@
 	if time.Now().Before(f.yielded) {
 		return false
 	}
+	if f.overtaken > 0 {
+		return f.next >= f.overtaken
+	}
 	since := time.Since(f.lastSign)
 	if f.state.Vacant {
 		return since > f.Handicap+jitter/4
@@ -82,10 +85,18 @@
 }
 
 // claim tries to become the leader of the next epoch. The outcome is read from
-// the log.
+// the log. The condition that nothing was appended meanwhile protects a leader
+// whose signs are late. A claim that failed because of records of others is
+// repeated without it once these have been read: with a slow log and a steady
+// flow of submissions no claim would meet the condition. Of several such claims
+// the log takes the first, because the others repeat its epoch and number.
 func (f *Feed) claim(ctx context.Context) {
 	f.mu.Lock()
-	at := f.next
+	next := f.next
+	at := &next
+	if f.overtaken > 0 {
+		at = nil
+	}
 	epoch := max(f.state.Epoch+1, f.floor)
 	silent := time.Since(f.lastSign)
 	f.lastSign = time.Now()
@@ -97,15 +108,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_, err = f.Append(ctx, Batch{Records: [][]byte{data}, At: &at, Epoch: epoch, Seq: 1})
+	_, err = f.Append(ctx, Batch{Records: [][]byte{data}, At: at, Epoch: epoch, Seq: 1})
+	f.Logger.Info("claim", zap.Uint64("epoch", epoch), zap.Uint64("next", next), zap.Bool("conditional", at != nil), zap.Duration("silent", silent), zap.Error(err))
+	f.claimed(epoch, next, err)
+}
+
+// claimed takes note of the answer to a claim.
+func (f *Feed) claimed(epoch, next uint64, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overtaken = 0
 	var fenced *FencedError
-	if errors.As(err, &fenced) {
+	var moved *MovedError
+	switch {
+	case errors.As(err, &fenced):
 		// A claim that did not take effect may have used the epoch up.
-		f.mu.Lock()
 		f.floor = epoch + 1
-		f.mu.Unlock()
+	case errors.As(err, &moved) && moved.End > next:
+		f.overtaken = moved.End
 	}
-	f.Logger.Info("claim", zap.Uint64("epoch", epoch), zap.Uint64("at", at), zap.Duration("silent", silent), zap.Error(err))
 }
 
 func (f *Feed) stepDown(cause string) {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -87,6 +87,10 @@
 	yielded  time.Time // until then others should lead
 	floor    uint64    // lowest epoch that the log may still accept a claim for
 
+	// overtaken is the end of the log to which a claim was too late; 0 if the
+	// leader has shown itself since, or no claim was.
+	overtaken uint64
+
 	patience patience
 	syncing  chan struct{} // holds a token while a Sync reads
 }
@@ -181,6 +185,7 @@
 	if f.state.Beats != f.signs {
 		f.signs = f.state.Beats
 		f.lastSign = now
+		f.overtaken = 0
 	}
 	return len(p.Records), nil
 }
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
@@ -63,6 +65,43 @@
 	}
 }
 
+// Guards against claims that fail one after the other because the log is slow
+// and submissions come faster than it answers: no instance led for 2.8 s on a
+// drawn day of ckbw-lane-grown.
+func TestElectionBesideSubmissions(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(c *cluster)
+		wait   time.Duration
+	}{
+		{"leader retires", func(c *cluster) { go c.leader().instance().Feed.Retire(c.ctx) }, 2 * time.Second},
+		{"leader killed", func(c *cluster) { c.kill(c.leader()) }, 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			play(t, 1, 5, 0, func(c *cluster) {
+				time.Sleep(3 * time.Second)
+				before := c.leader().instance().Feed.Status().Epoch
+				c.log.Set(func(l *fleettest.LogFaults) { l.Delay = 240 * time.Millisecond })
+				for i := range 200 {
+					time.AfterFunc(time.Duration(i)*30*time.Millisecond, func() {
+						j := job(fmt.Sprintf("j%d", i), ledger.Step{Count: 1, GPU: 1, Estimate: 300})
+						data, err := ledger.Encode(ledger.Record{Submit: &j})
+						is.NoErr(err)
+						_, _ = c.log.Append(c.ctx, "", feed.Batch{Records: [][]byte{data}}) // the last ones end with the cluster
+					})
+				}
+				time.Sleep(time.Second)
+				tt.strike(c)
+				time.Sleep(tt.wait)
+				is.Equal(c.leaders(), 1)
+				is.Equal(c.leader().instance().Feed.Status().Epoch-before, uint64(1))
+			})
+		})
+	}
+}
+
 // Guards against a leader with little processor time while others have more.
 func TestSmallInstancesLeadLast(t *testing.T) {
 	is := is.New(t)
