Fit start orders to the instance's link

A leader with a link of 10 Mbit/s gave 750 to 1,130 starts in 2 s, each with its job's specification, some kilobytes for bulk jobs. That is more than the link carries; 624 orders from 15 to 20 s had no answer within 400 ms, were repeated, and the workers' reports timed out as well, so that most workers counted as silent.

Change: start orders share a window of 120 ms of the link, which stands in the settings, and while more than 200 ms of decided starts wait, only urgent work is started.

--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -38,6 +38,7 @@
 	ctx     context.Context
 	change  func(s *Settings)
 	lines   *logLines
+	link    *narrow // of all instances; nil is without limit
 }
 
 // logLines gathers the lines that all instances log.
@@ -189,6 +190,11 @@
 				if err := gate(ctx); err != nil {
 					return &leader.NoAnswerError{Err: err}
 				}
+				if c.link != nil {
+					if err := c.link.pass(ctx, o); err != nil {
+						return err
+					}
+				}
 				return c.workers.Start(ctx, n.name, t, o)
 			},
 			Stop: func(ctx context.Context, t leader.Target, o leader.StopOrder) error {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -45,6 +45,7 @@
 	Peers   string  // address for other instances; empty serves none
 	Memory  int64   // bytes; 0 is no limit
 	Share   float64 // of a processor; 0 is unknown
+	Link    int64   // bytes a second that the instance's link carries; 0 is unknown
 	Grace   time.Duration
 	Bounds  leader.Bounds
 }
@@ -129,7 +130,7 @@
 
 // lead starts what the leader of an epoch does; the feed's lock is held.
 func (n *Instance) lead(ctx context.Context, epoch uint64, s *ledger.State) {
-	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Orders: n.Orders, Bounds: n.Settings.Bounds, Logger: n.Logger, Machines: n.Machines}
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Orders: n.Orders, Bounds: n.Settings.Bounds, Link: n.Settings.Link, Logger: n.Logger, Machines: n.Machines}
 	l.Init(ctx, s, nil)
 	n.leading.Store(l)
 	go l.Run()
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -27,32 +27,43 @@
 // deliver gives a start order until the worker answers.
 func (l *Leader) deliver(w *worker, n *run, o StartOrder) {
 	for try := 1; l.ctx.Err() == nil; try++ {
-		l.mu.Lock()
-		if n.stopping || n.ending || n.seen || w.runs[n.key] != n {
-			l.mu.Unlock()
+		release, ok := l.pace.acquire(l.ctx, o.bytes())
+		if !ok {
 			return
 		}
-		if time.Since(n.start) > startWindow || w.entry.Addr == "" {
-			l.abandon(w, n)
+		settled, pause := l.tryStart(w, n, o, try)
+		release()
+		if settled {
 			return
 		}
-		looked := w.looked
-		t := l.target(w)
-		if !looked {
-			l.mu.Unlock()
-			delay.For(l.ctx, failPause)
-			continue
-		}
-		o.Until = w.until(l.Bounds.Lease)
-		n.sent = true
+		delay.For(l.ctx, pause)
+	}
+}
+
+// tryStart gives a start order once. It reports whether the order is settled,
+// and otherwise how long to wait before the next try.
+func (l *Leader) tryStart(w *worker, n *run, o StartOrder, try int) (settled bool, pause time.Duration) {
+	l.mu.Lock()
+	if n.stopping || n.ending || n.seen || w.runs[n.key] != n {
 		l.mu.Unlock()
-		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
-		err := l.Orders.Start(ctx, t, o)
-		cancel()
-		if l.started(w, n, try, err) {
-			return
-		}
+		return true, 0
+	}
+	if time.Since(n.start) > startWindow || w.entry.Addr == "" {
+		l.abandon(w, n)
+		return true, 0
+	}
+	if !w.looked {
+		l.mu.Unlock()
+		return false, failPause
 	}
+	t := l.target(w)
+	o.Until = w.until(l.Bounds.Lease)
+	n.sent = true
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	err := l.Orders.Start(ctx, t, o)
+	return l.started(w, n, try, err), 0
 }
 
 // started takes note of a worker's answer to a start and reports whether the
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -21,6 +21,9 @@
 	Bounds Bounds
 	Logger *zap.Logger
 
+	// Link is what the instance's link carries, in bytes a second; 0 is unknown.
+	Link int64
+
 	// Machines, if set, reads the platform's list of machines.
 	Machines func(ctx context.Context) ([]Machine, error)
 
@@ -29,6 +32,7 @@
 	proposed map[ledger.UnitID]ledger.Start // starts that are not folded yet
 	holds    map[ledger.UnitID]hold
 	since    map[ledger.UnitID]int64 // Unix ms at which a waiting unit was first seen
+	pace     *pacer
 	wake     chan struct{}
 	ctx      context.Context
 	began    time.Time
@@ -73,6 +77,7 @@
 	l.holds = make(map[ledger.UnitID]hold)
 	l.since = make(map[ledger.UnitID]int64)
 	l.wake = make(chan struct{}, 1)
+	l.pace = newPacer(l.Link)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range entries {
--- /dev/null
+++ b/internal/fleet/leader/pace_test.go
@@ -0,0 +1,66 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/plan"
+)
+
+// Guards against bursts of less urgent starts that fill a narrow link, and
+// against urgent starts that are held back.
+func TestPaceAdmit(t *testing.T) {
+	const link = 1_250_000 // 10 Mbit/s
+	ahead := bytesIn(link, sendAhead)
+	tests := []struct {
+		name    string
+		link    int64
+		backlog int64
+		in      []int // priorities of starts of half of what may wait
+		want    []int
+	}{
+		{"idle", link, 0, []int{0, 1, 2, 2}, []int{0, 1}},
+		{"behind", link, ahead, []int{0, 1, 2}, []int{0}},
+		{"urgent ones later in the round count first", link, 0, []int{2, 0, 0, 0}, []int{0, 0, 0}},
+		{"unknown link", 0, ahead, []int{2, 2, 2}, []int{2, 2, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var starts []plan.Start
+			for _, p := range tt.in {
+				starts = append(starts, plan.Start{Unit: &plan.Waiting{Priority: p}})
+			}
+			var got []int
+			for _, st := range newPacer(tt.link).admit(starts, tt.backlog, func(plan.Start) int64 { return ahead / 2 }) {
+				got = append(got, st.Unit.Priority)
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// Guards against more bytes on their way than the link carries in time, and
+// against an order larger than that which is never sent.
+func TestPaceAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPacer(1_250_000)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		release, ok := p.acquire(ctx, 10*p.window)
+		is.True(ok)
+		began := time.Now()
+		time.AfterFunc(300*time.Millisecond, release)
+		release, ok = p.acquire(ctx, 1)
+		is.True(ok)
+		is.Equal(time.Since(began), 300*time.Millisecond)
+		_, ok = p.acquire(ctx, p.window)
+		is.True(!ok) // the context has ended
+		release()
+	})
+}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -75,6 +75,9 @@
 			return
 		}
 		out = plan.Decide(in)
+		out.Starts = l.pace.admit(out.Starts, l.backlog(s), func(st plan.Start) int64 {
+			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
+		})
 		l.take(out, in)
 	})
 	var records []ledger.Record
@@ -91,6 +94,32 @@
 	return &r
 }
 
+// startSize returns the bytes of the order that starts a task of the unit.
+func startSize(s *ledger.State, unit ledger.UnitID) int64 {
+	js := s.Jobs[unit.Job]
+	if js == nil {
+		return startBytes
+	}
+	return StartOrder{Spec: js.Job.Spec}.bytes()
+}
+
+// backlog returns the bytes of the start orders that are decided and have not
+// been sent; both locks are held.
+func (l *Leader) backlog(s *ledger.State) int64 {
+	bytes := int64(0)
+	for unit, st := range l.proposed {
+		bytes += int64(len(st.Workers)) * startSize(s, unit)
+	}
+	for _, w := range l.workers {
+		for _, n := range w.runs {
+			if !n.sent && !n.inherited && !n.stopping {
+				bytes += startSize(s, n.unit)
+			}
+		}
+	}
+	return bytes
+}
+
 // take notes the round's decisions; both locks are held.
 func (l *Leader) take(out plan.Output, in plan.Input) {
 	for _, st := range out.Starts {
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -54,6 +54,9 @@
 	Saved string
 }
 
+// bytes returns about what the order takes on the link.
+func (o StartOrder) bytes() int64 { return startBytes + int64(len(o.Spec)) }
+
 // StopOrder asks a worker to stop a run; a run that is not there is refused
 // from then on.
 type StopOrder struct {
