Let callers' questions wait for the first read of the log

A caller's question, which has 250 ms for a read, read the beginning of the log a second time over the same narrow link, ran out of time, and the log counted as lost, so that submissions were refused as well.

Ruled out: the reads of Run itself, which succeeded (the lines about them have the URL of the failed call).

Change: until the log has been read to its end once, a question waits for that instead of reading. TestSyncCutShort and TestSyncWaitsForRun; the first fails without the change.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -180,6 +180,7 @@
 	if f.next >= p.End && !f.caught {
 		f.caught = true
 		f.lastSign = now
+		f.announce()
 		f.Logger.Info("log read", zap.Uint64("offset", f.next), zap.Int("jobs", len(f.state.Jobs)), zap.Uint64("epoch", f.state.Epoch))
 	}
 	if f.state.Beats != f.signs {
@@ -228,11 +229,16 @@
 		f.apply(offset, data)
 	}
 	if took {
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.announce()
 	}
 }
 
+// announce wakes those who wait for a change; it is called with the lock held.
+func (f *Feed) announce() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *Feed) apply(offset uint64, data []byte) {
 	r, err := ledger.Decode(data)
 	if err != nil {
@@ -329,11 +335,12 @@
 	return f.changed
 }
 
-// Sync reads the log to its present end.
+// Sync reads the log to its present end. Until Run has read the log to its end
+// once it waits for that: another read would take as much of the link again.
 func (f *Feed) Sync(ctx context.Context) error {
-	f.mu.Lock()
-	f.init()
-	f.mu.Unlock()
+	if err := f.awaitCaught(ctx); err != nil {
+		return err
+	}
 	select {
 	case f.syncing <- struct{}{}:
 		defer func() { <-f.syncing }()
@@ -351,6 +358,20 @@
 	}
 }
 
+func (f *Feed) awaitCaught(ctx context.Context) error {
+	for {
+		changed := f.Changed()
+		if f.Status().Caught {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &ReadError{ctx.Err()}
+		}
+	}
+}
+
 // atEnd reports whether the last read reached the end of the log.
 func (f *Feed) atEnd() bool {
 	f.mu.Lock()
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -34,3 +36,64 @@
 		})
 	}
 }
+
+// Guards against an instance that takes the log for lost because a caller's
+// question ended while it was still reading the log from its beginning, and
+// against one that does not notice a silent log by such a question later.
+func TestSyncCutShort(t *testing.T) {
+	tests := []struct {
+		name   string
+		caught bool
+		cancel bool // the caller has gone
+		down   bool
+	}{
+		{"while reading the beginning", false, false, false},
+		{"later", true, false, true},
+		{"caller gone", true, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &Feed{Read: func(ctx context.Context, _ uint64, _ time.Duration) (Page, error) {
+					<-ctx.Done()
+					return Page{}, &ReadError{ctx.Err()}
+				}}
+				f.caught = tt.caught
+				ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+				defer cancel()
+				if tt.cancel {
+					time.AfterFunc(100*time.Millisecond, cancel)
+				}
+				is.True(f.Sync(ctx) != nil)
+				is.Equal(f.Down(), tt.down)
+			})
+		})
+	}
+}
+
+// Guards against questions that never end while the log is empty, and against
+// a second read of the beginning beside the one of Run.
+func TestSyncWaitsForRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &Feed{Read: func(ctx context.Context, _ uint64, wait time.Duration) (Page, error) {
+			time.Sleep(50*time.Millisecond + wait) // the link's time, and that without a record
+			return Page{}, ctx.Err()
+		}}
+		began := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		is.NoErr(f.Sync(ctx))
+		is.Equal(time.Since(began), followWait+2*50*time.Millisecond)
+	})
+}
