Refuse questions at once on an instance that starts during an outage

Change: while reads fail a question tries a read itself, as before, and the failure wakes those that wait. TestSyncInOutage does not end without the change.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -195,6 +195,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.failing {
+		f.init()
+		f.announce()
 		f.failing = true
 		f.failed = time.Now()
 		f.Logger.Warn("log lost", zap.Uint64("offset", f.next), zap.Error(err))
@@ -336,7 +338,8 @@
 }
 
 // Sync reads the log to its present end. Until Run has read the log to its end
-// once it waits for that: another read would take as much of the link again.
+// once it waits for that, unless reads fail: another read would take as much of
+// the link again.
 func (f *Feed) Sync(ctx context.Context) error {
 	if err := f.awaitCaught(ctx); err != nil {
 		return err
@@ -361,7 +364,7 @@
 func (f *Feed) awaitCaught(ctx context.Context) error {
 	for {
 		changed := f.Changed()
-		if f.Status().Caught {
+		if f.Status().Caught || f.Down() {
 			return nil
 		}
 		select {
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -97,3 +97,28 @@
 		is.Equal(time.Since(began), followWait+2*50*time.Millisecond)
 	})
 }
+
+// Guards against questions that wait for a log that cannot be read, instead of
+// being refused at once, on an instance that starts during an outage.
+func TestSyncInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &Feed{Read: func(context.Context, uint64, time.Duration) (Page, error) {
+			time.Sleep(5 * time.Millisecond)
+			return Page{}, &ReadError{context.DeadlineExceeded}
+		}}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		began := time.Now()
+		is.True(f.Sync(ctx) != nil)
+		is.True(time.Since(began) <= 10*time.Millisecond)
+	})
+}
