Start the feed in one place in its tests; plainer comments

Found by reading the whole change: two tests started and ended a feed with the same eight lines, and two comments of the stand-ins spoke in figures. No assertion changes: TestSyncInOutage still does not end when questions wait during an outage.

--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -72,28 +72,32 @@
 	}
 }
 
+// running starts the feed and returns a function that ends it.
+func running(t *testing.T, f *Feed) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx) // always the context's error
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // Guards against questions that never end while the log is empty, and against
 // a second read of the beginning beside the one of Run.
 func TestSyncWaitsForRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		f := &Feed{Read: func(ctx context.Context, _ uint64, wait time.Duration) (Page, error) {
 			time.Sleep(50*time.Millisecond + wait) // the link's time, and that without a record
 			return Page{}, ctx.Err()
 		}}
 		began := time.Now()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = f.Run(ctx)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
-		is.NoErr(f.Sync(ctx))
+		defer running(t, f)()
+		is.NoErr(f.Sync(t.Context()))
 		is.Equal(time.Since(began), followWait+2*50*time.Millisecond)
 	})
 }
@@ -103,22 +107,13 @@
 func TestSyncInOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
 		f := &Feed{Read: func(context.Context, uint64, time.Duration) (Page, error) {
 			time.Sleep(5 * time.Millisecond)
 			return Page{}, &ReadError{context.DeadlineExceeded}
 		}}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = f.Run(ctx)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
+		defer running(t, f)()
 		began := time.Now()
-		is.True(f.Sync(ctx) != nil)
+		is.True(f.Sync(t.Context()) != nil)
 		is.True(time.Since(began) <= 10*time.Millisecond)
 	})
 }
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -25,7 +25,7 @@
 	tick = 10 * time.Millisecond
 )
 
-// NotListedError reports an order to a worker that there is not.
+// NotListedError reports an order to an unknown worker.
 type NotListedError struct {
 	Worker string
 }
@@ -268,7 +268,7 @@
 	}
 }
 
-// Run moves the world on until the context ends.
+// Run plays the workers' part until the context ends.
 func (ws *Workers) Run(ctx context.Context) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
