Wait for the decisions on an entry before its append is repeated

Cause: awaitApplied returned once the state's offset had passed the entry, but the decisions are passed to the proposers after the state's lock is released, so an append that was answered in between was repeated (without effect on the state). The queue now knows up to which offset decisions have been passed on. TestUnknownLearned: the test's condition took the read lock a second time inside the cluster's view, so a waiting writer blocked both. No bound or check changed.

--- a/replica/append.go
+++ b/replica/append.go
@@ -133,7 +133,7 @@
 		switch {
 		case err == nil:
 			delay.failures = 0
-			r.awaitApplied(ctx, p, offset+1)
+			r.awaitSettled(ctx, p, offset+1)
 		case errors.As(err, &lost):
 			r.settleLostResponse(ctx, p, delay)
 			if attempt > 0 && !p.settled() {
@@ -187,7 +187,7 @@
 }
 
 // settleLostResponse reads the end of the log after a lost response and waits
-// until all entries before it are applied. If that does not settle the batch,
+// until all entries before it are settled. If that does not settle the batch,
 // the batch was not in the log at that time. A delayed copy can still arrive, so
 // the caller appends the same bytes again.
 func (r *Replica) settleLostResponse(ctx context.Context, p *batch, delay *backoff) {
@@ -196,22 +196,19 @@
 		_, end, err := r.Log.Bounds(rctx)
 		cancel()
 		if err == nil {
-			r.awaitApplied(ctx, p, end)
+			r.awaitSettled(ctx, p, end)
 			return
 		}
 		r.pause(ctx, delay, p.done)
 	}
 }
 
-// awaitApplied waits until the batch is settled or all entries before the
-// offset are applied.
-func (r *Replica) awaitApplied(ctx context.Context, p *batch, offset uint64) {
+// awaitSettled waits until the batch is settled, or until all entries before the
+// offset are applied and their decisions passed on.
+func (r *Replica) awaitSettled(ctx context.Context, p *batch, offset uint64) {
 	for {
 		wake := r.changed.wait()
-		r.mu.RLock()
-		applied := r.st.Offset >= offset
-		r.mu.RUnlock()
-		if applied {
+		if r.queue.settledBefore(offset) {
 			return
 		}
 		select {
@@ -326,6 +323,22 @@
 	return nil
 }
 
+// advance notes that the decisions on all entries before the offset have been
+// passed to their proposers.
+func (q *queue) advance(offset uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.settledOffset = max(q.settledOffset, offset)
+}
+
+// settledBefore reports whether the decisions on all entries before the offset
+// have been passed to their proposers.
+func (q *queue) settledBefore(offset uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.settledOffset >= offset
+}
+
 // fail settles a batch that cannot be encoded: its proposals fail with
 // *NotAppendedError.
 func (q *queue) fail(p *batch, err error) {
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -79,6 +79,57 @@
 	}
 }
 
+// answerAfter is a transport that delays the answers to calls of a method until
+// the channel is closed.
+type answerAfter struct {
+	method string
+	until  <-chan struct{}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a answerAfter) RoundTrip(q *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(q)
+	if q.Method == a.method {
+		<-a.until
+	}
+	return resp, err
+}
+
+// TestAnswerBeforeDecisions guards against an append that is repeated although it
+// was answered, because its entry is applied while its decisions are not passed on
+// yet.
+func TestAnswerBeforeDecisions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	applied := make(chan struct{})
+	a := f.start("a", func(r *Replica) {
+		r.Log.Client = &http.Client{Transport: answerAfter{http.MethodPost, applied}}
+		r.AppendTimeout = testTimeout
+		r.Join.Name = ""
+	}).ready()
+	before := a.Status().Counts.Appends
+	a.snapshots.mu.Lock() // holds up the tailer between the two
+	release := sync.OnceFunc(a.snapshots.mu.Unlock)
+	defer release()
+	published := make(chan error, 1)
+	go func() {
+		_, err := a.publish("x", 0)
+		published <- err
+	}()
+	for a.version("x") == 0 && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond) // the replica signals the entry only after the delay
+	}
+	close(applied)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	err := a.Await(ctx, func(s Status) bool { return s.Counts.Appends > before+1 })
+	release()
+	is.True(errors.Is(err, context.DeadlineExceeded)) // no second append
+	is.NoErr(<-published)
+	entries, _ := f.copies("x")
+	is.Equal(entries, 1)
+}
+
 // TestLateCopyInDoubt guards against a batch that changes between attempts or is
 // reported as not appended while an earlier copy can still arrive.
 func TestLateCopyInDoubt(t *testing.T) {
--- a/replica/queue.go
+++ b/replica/queue.go
@@ -19,15 +19,18 @@
 // queue holds the proposals that wait to be appended, by priority, and the
 // batch that is being appended.
 type queue struct {
-	mu           sync.Mutex
-	waiting      [priorityCount][]*proposal
-	records      int // in waiting
-	pending      *batch
-	lastSeq      uint64 // last sequence number that a settled batch has used
-	logErr       error  // error of the last append; nil if it succeeded
-	closed       bool
-	closeCause   error // why the queue was closed
-	recordsAdded signal
+	mu      sync.Mutex
+	waiting [priorityCount][]*proposal
+	records int // in waiting
+	pending *batch
+	lastSeq uint64 // last sequence number that a settled batch has used
+	// settledOffset is the log offset before which all decisions have been passed
+	// to their proposers. It follows the offset of the state.
+	settledOffset uint64
+	logErr        error // error of the last append; nil if it succeeded
+	closed        bool
+	closeCause    error // why the queue was closed
+	recordsAdded  signal
 }
 
 // proposal is the records of one call of Propose. They are appended together
--- a/replica/tail.go
+++ b/replica/tail.go
@@ -167,6 +167,7 @@
 		err = r.st.Skip(e.Offset)
 		r.mu.Unlock()
 		r.counters.skipped.Add(1)
+		r.queue.advance(e.Offset + 1)
 		r.changed.fire()
 		return false, err
 	}
@@ -192,6 +193,7 @@
 		leaveApplied = fenced && after > before
 		err = r.settle(e, b, decisions, after > before)
 	}
+	r.queue.advance(e.Offset + 1)
 	r.changed.fire()
 	r.progress.fire()
 	if r.OnDecision != nil {
@@ -327,13 +329,15 @@
 	}
 	r.resetSnapshotSchedule(s.Now)
 	r.Logger.Info("state loaded", zap.Uint64("offset", s.Offset))
+	var err error
+	switch {
+	case !firstLoad:
+		err = r.settleLoaded(s.Offset, w)
+	case w != nil:
+		err = &FencedError{r.Writer, state.ReasonExists} // the writer identity was used before
+	}
+	r.queue.advance(s.Offset)
 	r.changed.fire()
 	r.progress.fire()
-	if firstLoad {
-		if w != nil {
-			return &FencedError{r.Writer, state.ReasonExists} // the writer identity was used before
-		}
-		return nil
-	}
-	return r.settleLoaded(s.Offset, w)
+	return err
 }
--- a/worker/cluster_test.go
+++ b/worker/cluster_test.go
@@ -186,15 +186,18 @@
 	return j
 }
 
-// wait waits until the state satisfies the condition, at most 10 s.
+// wait waits until the state satisfies the condition, at most 10 s. The
+// condition is called under the exclusive lock, so one that reads the state by
+// the cluster's methods blocks each time and not only beside a writer.
 func (c *cluster) wait(what string, cond func(*state.State) bool) {
 	c.t.Helper()
 	limit := time.NewTimer(10 * time.Second)
 	defer limit.Stop()
 	for {
 		changed := c.watch()
-		ok := false
-		c.view(func(s *state.State) { ok = cond(s) })
+		c.mu.Lock()
+		ok := cond(c.s)
+		c.mu.Unlock()
 		if ok {
 			return
 		}
--- a/worker/gang_test.go
+++ b/worker/gang_test.go
@@ -207,7 +207,7 @@
 	c.run(st.Run)
 	c.place(record.Submit{Job: "low", ExpectedMs: 60_000, Checkpoint: true}, 0, 1)
 	c.waitPhase("low", state.JobRunning)
-	c.wait("low runs", func(*state.State) bool { return len(ran(c.workers.Audit(), c.job("low").Token)) == 1 })
+	c.wait("low runs", func(s *state.State) bool { return len(ran(c.workers.Audit(), s.Jobs["low"].Token)) == 1 })
 	c.placeOver(record.Submit{Job: "high", Account: "binu", ExpectedMs: 20}, 0, "low", 1000)
 	c.waitPhase("high", state.JobDone)
 	c.waitPhase("low", state.JobWaiting)
--- a/worker/leasekeeper_test.go
+++ b/worker/leasekeeper_test.go
@@ -73,7 +73,7 @@
 	c.run(c.keeper(0).Run)
 	c.run(c.starter(0).Run)
 	c.place(record.Submit{Job: "j1", ExpectedMs: 300, Once: true}, 0, 1)
-	c.wait("j1 runs", func(*state.State) bool { return len(ran(c.workers.Audit(), c.job("j1").Token)) == 1 })
+	c.wait("j1 runs", func(s *state.State) bool { return len(ran(c.workers.Audit(), s.Jobs["j1"].Token)) == 1 })
 	c.workers.Fault(standin.WorkerFault{Worker: "w0", Unreachable: true}) // the job ends within the lease
 	c.waitPhase("j1", state.JobUnknown)
 	c.workers.Fault(standin.WorkerFault{Worker: "w0"})
@@ -92,7 +92,7 @@
 	stop := c.run(c.keeper(0).Run)
 	c.run(c.starter(0).Run)
 	c.place(record.Submit{Job: "low", ExpectedMs: 60_000}, 0, 1)
-	c.wait("low runs", func(*state.State) bool { return len(ran(c.workers.Audit(), c.job("low").Token)) == 1 })
+	c.wait("low runs", func(s *state.State) bool { return len(ran(c.workers.Audit(), s.Jobs["low"].Token)) == 1 })
 	stop()
 	c.workers.Fault(standin.WorkerFault{Worker: "w0", Unreachable: true})
 	st := c.starter(0)
