Start nothing in evacuated failure domains

Cause: nothing read the operators' evacuate records, so starts went on in the zone (rule EVAC). Change: the records are read with the configuration. The newest request or withdrawal of each domain holds, by the offset of its record, so an older page or a record that is read again changes nothing. The planner places nothing in an evacuated domain, and each start request is checked again before it is sent. Runs there may end; moving them would throw work away and the request asks only that nothing more be sent. Workers that are cold after their start are used last.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -22,6 +22,7 @@
 type Checker struct {
 	Jobs            map[string]ledger.Job
 	Cancelled       map[string]time.Time  // when the cancellation of a job was acknowledged
+	Evacuated       map[string]time.Time  // when all instances knew that a failure domain is evacuated
 	Refused         map[string]bool       // jobs that the system reported as not accepted
 	IncompleteGangs []string              // tasks that ended because their gang was not complete in time
 	NoDisruption    bool                  // the test injects no faults
@@ -39,6 +40,7 @@
 	return &Checker{
 		Jobs:         make(map[string]ledger.Job),
 		Cancelled:    make(map[string]time.Time),
+		Evacuated:    make(map[string]time.Time),
 		Refused:      make(map[string]bool),
 		StartCounts:  make(map[leader.TaskID]int),
 		done:         make(map[leader.TaskID]bool),
@@ -55,6 +57,10 @@
 // cancelSlack is how long after a cancellation starts are still allowed.
 const cancelSlack = 3 * time.Second
 
+// evacuationSlack is how long after an evacuation is known requests that were
+// sent before may still arrive.
+const evacuationSlack = 500 * time.Millisecond
+
 // checkStart checks a start that a worker is about to carry out. It returns false
 // if the worker cannot carry it out because no such job was submitted.
 func (r *Checker) checkStart(ws *Workers, w *Worker, o leader.StartRequest, late bool) bool {
@@ -71,6 +77,9 @@
 	if at, ok := r.Cancelled[j.ID]; ok && !late && time.Since(at) > cancelSlack {
 		r.addViolation("UNASKED", o.Task, " started ", time.Since(at), " after its cancellation")
 	}
+	if at, ok := r.Evacuated[w.Domain]; ok && !late && time.Since(at) > evacuationSlack {
+		r.addViolation("EVAC", o.Task, " started in ", w.Domain, " ", time.Since(at), " after its evacuation")
+	}
 	if r.Refused[j.ID] {
 		r.addViolation("REFUSED", o.Task, " started")
 	}
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -52,6 +52,7 @@
 	ID              string
 	Addr            string // ID if empty
 	Service         string
+	Domain          string
 	Rack            string
 	Total           plan.Resources
 	ClockRate       float64         // speed of its clock; 1 is real time
@@ -426,7 +427,7 @@
 	var out []leader.WorkerEntry
 	for _, w := range ws.List {
 		if !w.Down && !w.Unlisted {
-			out = append(out, leader.WorkerEntry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Rack: w.Rack, Labels: []string{"a", w.Rack}, Total: w.Total, Incarnation: w.incarnation, Draining: w.Draining, Remaining: w.Remaining})
+			out = append(out, leader.WorkerEntry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Zone: w.Domain, Rack: w.Rack, Labels: []string{"a", w.Rack}, Total: w.Total, Incarnation: w.incarnation, Draining: w.Draining, Remaining: w.Remaining})
 		}
 	}
 	return out
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,9 @@
 	changeSettings func(s *Settings) // called before the start of each incarnation
 	lines          *logLines
 	link           *slowLink // network link that all instances share; nil is unlimited
+
+	mu          sync.Mutex
+	evacuations []policy.Evacuation // all requests and withdrawals, oldest first
 }
 
 // logLines collects the log lines of all instances.
@@ -122,7 +126,7 @@
 		c.workers = fleettest.NewWorkers(rand.New(rand.NewPCG(seed, 3)), r)
 		for i := range workers {
 			c.workers.Add(&fleettest.Worker{
-				ID: fmt.Sprintf("w%d", i), Service: service, Rack: fmt.Sprintf("r%d", i/4), ClockRate: 1 - 0.02*rnd.Float64(),
+				ID: fmt.Sprintf("w%d", i), Service: service, Domain: fmt.Sprintf("d%d", i/4), Rack: fmt.Sprintf("r%d", i/4), ClockRate: 1 - 0.02*rnd.Float64(),
 				Total: plan.Resources{CPU: 8000, Memory: 8000, GPU: 8},
 			})
 		}
@@ -240,6 +244,9 @@
 	c.changeSettings(&inst.Settings)
 	inst.Init()
 	inst.Policy.Set(config())
+	c.mu.Lock()
+	inst.Policy.ChangeEvacuations(c.evacuations)
+	c.mu.Unlock()
 	go func() { _ = inst.Feed.Run(ctx) }()
 }
 
@@ -335,6 +342,24 @@
 	}
 }
 
+// evacuate requests the evacuation of a failure domain, or withdraws it, and
+// tells all instances.
+func (c *cluster) evacuate(domain string, active bool) {
+	c.mu.Lock()
+	c.evacuations = append(c.evacuations, policy.Evacuation{Domain: domain, Active: active, Version: uint64(len(c.evacuations) + 1)})
+	all := slices.Clone(c.evacuations)
+	c.mu.Unlock()
+	for _, n := range c.nodes {
+		n.instance().Policy.ChangeEvacuations(all)
+	}
+	c.workers.WithLock(func() {
+		delete(c.rules.Evacuated, domain)
+		if active {
+			c.rules.Evacuated[domain] = time.Now()
+		}
+	})
+}
+
 // config returns a configuration with three queues and one account.
 func config() *policy.Config {
 	return &policy.Config{
--- a/internal/fleet/instance/depart_test.go
+++ b/internal/fleet/instance/depart_test.go
@@ -40,7 +40,7 @@
 
 // Guards against tasks that stay on a draining worker until the platform
 // removes it, although they cannot finish there in time.
-func TestEvacuation(t *testing.T) {
+func TestDrainingWorker(t *testing.T) {
 	is := is.New(t)
 	r := runCluster(t, 1, 3, 8, func(c *cluster) {
 		time.Sleep(8 * time.Second)
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -97,7 +97,7 @@
 			}
 			return n
 		}
-		switch kind := h.rnd.IntN(14); kind {
+		switch kind := h.rnd.IntN(15); kind {
 		case 0:
 			h.after(at, func() { h.c.restart(target()) })
 		case 1:
@@ -155,6 +155,9 @@
 			h.during(at, span, func(on bool) { h.c.workers.WithLock(func() { h.c.workers.LostResponseRate = fraction * oneIf(on) }) })
 		case 13:
 			h.after(at, func() { h.replace(worker, span/3) })
+		case 14:
+			domain := fmt.Sprintf("d%d", h.rnd.IntN(2))
+			h.during(at, span, func(on bool) { h.c.evacuate(domain, on) })
 		case 12:
 			h.after(at, func() {
 				for _, n := range h.c.nodes {
@@ -178,7 +181,7 @@
 	}
 	h.c.workers.Drain(id, notice)
 	h.after(notice+4*time.Second, func() {
-		h.c.workers.Add(&fleettest.Worker{ID: id + "'", Service: service, Rack: old.Rack, ClockRate: old.ClockRate, Total: old.Total})
+		h.c.workers.Add(&fleettest.Worker{ID: id + "'", Service: service, Domain: old.Domain, Rack: old.Rack, ClockRate: old.ClockRate, Total: old.Total})
 	})
 }
 
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -50,6 +50,11 @@
 		l.mu.Unlock()
 		return true, 0
 	}
+	if l.Policy.Evacuated(w.entry.Zone) {
+		l.stopRun(w, n, "failure domain evacuated")
+		l.mu.Unlock()
+		return true, 0
+	}
 	if time.Since(n.startedAt) > startDeadline || w.entry.Addr == "" {
 		l.abandonStart(w, n)
 		return true, 0
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -289,7 +289,7 @@
 		v.RemainingMs = max(v.RemainingMs, step.Estimate-now.Sub(n.startedAt).Milliseconds())
 		v.UnsavedMs = max(v.UnsavedMs, unsavedMs(n, step, now))
 	}
-	if !w.usable(now) {
+	if !w.usable(now) || l.Policy.Evacuated(w.entry.Zone) {
 		return
 	}
 	in.Workers = append(in.Workers, &plan.Worker{
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -29,6 +29,7 @@
 	Draining    bool
 	Remaining   time.Duration // least time that a draining worker stays
 	Incarnation int64         // Unix ms at which it started; identifies the incarnation
+	ColdUntil   time.Time     // end of the slow period after its start
 }
 
 // Machine is a machine in the platform's list. It runs one worker at a time, and
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -105,10 +105,10 @@
 		(w.entry.Incarnation == 0 || w.entry.Incarnation == w.incarnation)
 }
 
-// suspect reports whether runs of several jobs recently failed on the worker, or
-// a run on it was recently slow.
+// suspect reports whether runs of several jobs recently failed on the worker, a
+// run on it was recently slow, or it is still slow after its start.
 func (w *worker) suspect(now time.Time) bool {
-	if now.Sub(w.slowAt) < slowPenalty {
+	if now.Sub(w.slowAt) < slowPenalty || now.Before(w.entry.ColdUntil) {
 		return true
 	}
 	n := 0
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 )
 
@@ -92,10 +93,13 @@
 	return a, ok
 }
 
-// Current holds the configuration with the highest version seen; older versions
-// never replace it.
+// Current holds the newest configuration and the newest evacuations seen; older
+// versions never replace them.
 type Current struct {
 	config atomic.Pointer[Config]
+
+	evacuationsMu sync.Mutex // held by writers of evacuations
+	evacuations   atomic.Pointer[map[string]Evacuation]
 }
 
 // Set replaces the configuration with c if c has a higher version, and reports
