Index runs by unit and offers of preemption by worker

Change: the leader keeps runs by unit and the bytes of unsent starts; the planner keeps running units by worker, sorts them when a worker is looked at, and keeps each worker's offer between the tasks of a gang. Units and routes are found by index.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -66,6 +66,7 @@
 	t := l.target(w)
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 	n.startSent = true
+	delete(l.unsentStarts, n)
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
 	defer cancel()
@@ -137,6 +138,7 @@
 		return
 	}
 	n.stopping = true
+	delete(l.unsentStarts, n)
 	if !n.startSent && !n.inherited {
 		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
 		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 
 	mu             sync.Mutex
 	workers        map[string]*worker
+	unitRuns       map[ledger.UnitID][]*run       // all runs of workers, by unit
+	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
 	reservations   map[ledger.UnitID]reservation
 	waitingSince   map[ledger.UnitID]int64 // Unix ms at which a unit was first seen ready to start
@@ -56,6 +59,7 @@
 // run is the leader's view of a run that is, or may be, on a worker.
 type run struct {
 	key         runKey
+	worker      *worker
 	unit        ledger.UnitID
 	member      int
 	startedAt   time.Time
@@ -75,6 +79,8 @@
 	l.ctx = ctx
 	l.startedAt = time.Now()
 	l.workers = make(map[string]*worker)
+	l.unitRuns = make(map[ledger.UnitID][]*run)
+	l.unsentStarts = make(map[*run]int64)
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
 	l.reservations = make(map[ledger.UnitID]reservation)
 	l.waitingSince = make(map[ledger.UnitID]int64)
@@ -105,7 +111,7 @@
 		r.acceptedAt = l.startedAt
 		r.inherited = true
 		r.checkpoint = u.Checkpoint
-		w.runs[r.key] = r
+		l.addRun(w, r)
 		switch {
 		case js.Phase.Final():
 			l.stopRun(w, r, string(js.Phase))
@@ -125,6 +131,25 @@
 	return &run{key: runKey{task, u.Run}, unit: u.ID, member: member, startedAt: time.Now()}
 }
 
+// addRun adds a run to its worker. The caller holds l.mu.
+func (l *Leader) addRun(w *worker, n *run) {
+	n.worker = w
+	w.runs[n.key] = n
+	l.unitRuns[n.unit] = append(l.unitRuns[n.unit], n)
+}
+
+// removeRun removes a run from its worker. The caller holds l.mu.
+func (l *Leader) removeRun(n *run) {
+	delete(n.worker.runs, n.key)
+	delete(l.unsentStarts, n)
+	rest := slices.DeleteFunc(l.unitRuns[n.unit], func(o *run) bool { return o == n })
+	if len(rest) == 0 {
+		delete(l.unitRuns, n.unit)
+		return
+	}
+	l.unitRuns[n.unit] = rest
+}
+
 // ensureWorker returns the worker with the id. A new worker is added and its
 // session started. The caller holds l.mu.
 func (l *Leader) ensureWorker(id string) *worker {
@@ -212,7 +237,7 @@
 	case r.End != nil && r.End.Epoch == l.Epoch:
 		l.applyEnd(s, r.End, effective)
 	case r.Cancel != nil && effective:
-		l.stopJob(r.Cancel.ID, "cancelled")
+		l.stopJob(s.Jobs[r.Cancel.ID], "cancelled")
 	case r.Submit != nil && effective:
 		l.wakePlanner()
 	}
@@ -234,8 +259,10 @@
 	for i, id := range r.Workers {
 		w := l.ensureWorker(id)
 		n := newRun(js, u, i)
-		w.runs[n.key] = n
-		go l.deliverStart(w, n, StartRequest{Task: n.key.task, Run: n.key.run, Spec: js.Job.Spec, Checkpoint: u.Checkpoint})
+		l.addRun(w, n)
+		req := StartRequest{Task: n.key.task, Run: n.key.run, Spec: js.Job.Spec, Checkpoint: u.Checkpoint}
+		l.unsentStarts[n] = req.size()
+		go l.deliverStart(w, n, req)
 	}
 }
 
@@ -243,14 +270,12 @@
 // gang or job if these cannot go on. The caller holds the feed's lock and l.mu.
 func (l *Leader) applyEnd(s *ledger.State, r *ledger.End, effective bool) {
 	js := s.Jobs[r.Unit.Job]
-	for _, w := range l.workers {
-		for key, n := range w.runs {
-			if n.unit == r.Unit && n.member == r.Member && key.run == r.Run {
-				delete(w.runs, key)
-				w.markStored(key)
-				w.recordOutcome(r)
-				w.wakeSession()
-			}
+	for _, n := range slices.Clone(l.unitRuns[r.Unit]) {
+		if n.member == r.Member && n.key.run == r.Run {
+			l.removeRun(n)
+			n.worker.markStored(n.key)
+			n.worker.recordOutcome(r)
+			n.worker.wakeSession()
 		}
 	}
 	l.wakePlanner()
@@ -258,7 +283,7 @@
 		return
 	}
 	if effective && js.Phase.Final() && js.Phase != ledger.Finished {
-		l.stopJob(r.Unit.Job, string(js.Phase))
+		l.stopJob(js, string(js.Phase))
 		return
 	}
 	if u := js.Unit(r.Unit); u != nil && u.Active() && effective && r.Outcome != ledger.Done {
@@ -270,24 +295,16 @@
 }
 
 // stopJob stops all runs of a job. The caller holds l.mu.
-func (l *Leader) stopJob(job, cause string) {
-	for _, w := range l.workers {
-		for _, n := range w.runs {
-			if n.unit.Job == job {
-				l.stopRun(w, n, cause)
-			}
-		}
+func (l *Leader) stopJob(js *ledger.JobState, cause string) {
+	for i := range js.Units {
+		l.stopUnit(js.Units[i].ID, cause)
 	}
 }
 
 // stopUnit stops all members of a unit's run. The caller holds l.mu.
 func (l *Leader) stopUnit(unit ledger.UnitID, cause string) {
-	for _, w := range l.workers {
-		for _, n := range w.runs {
-			if n.unit == unit {
-				l.stopRun(w, n, cause)
-			}
-		}
+	for _, n := range l.unitRuns[unit] {
+		l.stopRun(n.worker, n, cause)
 	}
 }
 
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -118,12 +118,8 @@
 	for unit, st := range l.proposedStarts {
 		bytes += int64(len(st.Workers)) * startSize(s, unit)
 	}
-	for _, w := range l.workers {
-		for _, n := range w.runs {
-			if !n.startSent && !n.inherited && !n.stopping {
-				bytes += startSize(s, n.unit)
-			}
-		}
+	for _, size := range l.unsentStarts {
+		bytes += size
 	}
 	return bytes
 }
@@ -157,15 +153,25 @@
 	now := time.Now()
 	in := plan.Input{Now: now.UnixMilli()}
 	guaranteed := guaranteedJobs(s, cfg)
-	runningTasks := make(map[stepKey]map[string]int)
 	for _, js := range s.Jobs {
 		if !js.Phase.Final() {
-			l.addWaiting(&in, js, cfg, guaranteed[js.Job.ID], runningTasks)
+			l.addWaiting(&in, js, cfg, guaranteed[js.Job.ID])
 		}
 	}
-	running := make(map[ledger.UnitID]*plan.RunningUnit)
-	for _, w := range l.workers {
-		l.addWorker(&in, s, w, now, running, guaranteed)
+	free := make(map[string]*plan.Resources, len(l.workers))
+	for id, w := range l.workers {
+		total := w.entry.Total
+		free[id] = &total
+	}
+	l.addRunning(&in, s, free, guaranteed, now)
+	l.deductProposed(s, free)
+	for id, w := range l.workers {
+		if w.usable(now) && !l.Policy.Evacuated(w.entry.Zone) {
+			in.Workers = append(in.Workers, &plan.Worker{
+				ID: id, Service: w.entry.Service, Rack: w.entry.Rack, Labels: w.entry.Labels,
+				Total: w.entry.Total, Free: *free[id], Suspect: w.suspect(now),
+			})
+		}
 	}
 	for id, h := range l.reservations {
 		if now.After(h.expiresAt) {
@@ -174,21 +180,25 @@
 		}
 		in.Reservations = append(in.Reservations, h.Reservation)
 	}
+	return in
+}
+
+// deductProposed subtracts the resources of the starts whose records are not
+// applied yet. The caller holds the feed's lock and l.mu.
+func (l *Leader) deductProposed(s *ledger.State, free map[string]*plan.Resources) {
 	for id, st := range l.proposedStarts {
 		js := s.Jobs[id.Job]
 		if js == nil {
 			delete(l.proposedStarts, id)
 			continue
 		}
-		for _, w := range in.Workers {
-			for _, on := range st.Workers {
-				if on == w.ID {
-					w.Free = w.Free.Sub(taskNeed(&js.Job.Steps[id.Step]))
-				}
+		need := taskNeed(&js.Job.Steps[id.Step])
+		for _, on := range st.Workers {
+			if f := free[on]; f != nil {
+				*f = f.Sub(need)
 			}
 		}
 	}
-	return in
 }
 
 // stepKey identifies one occurrence of a step.
@@ -199,7 +209,13 @@
 
 // addWaiting adds the job's units that could start now to the input. The caller
 // holds the feed's lock and l.mu.
-func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool, runningTasks map[stepKey]map[string]int) {
+func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool) {
+	runningTasks := make(map[stepKey]map[string]int)
+	ready := make(map[stepKey]bool)
+	priority, service := js.Job.Priority, js.Job.Service
+	if q := cfg.RouteByName(js.Job.Queue); q != nil {
+		priority, service = q.Priority, q.Service
+	}
 	for i := range js.Units {
 		u := &js.Units[i]
 		step := &js.Job.Steps[u.ID.Step]
@@ -210,7 +226,15 @@
 		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs || in.Now < u.RunEndedAt+int64(u.Failures)*retryDelayMs {
 			continue
 		}
-		if _, ok := l.proposedStarts[u.ID]; ok || !js.Ready(u) {
+		if _, ok := l.proposedStarts[u.ID]; ok {
+			continue
+		}
+		isReady, ok := ready[key]
+		if !ok {
+			isReady = js.Ready(u)
+			ready[key] = isReady
+		}
+		if !isReady {
 			continue
 		}
 		since, ok := l.waitingSince[u.ID]
@@ -218,10 +242,6 @@
 			since = in.Now
 			l.waitingSince[u.ID] = since
 		}
-		priority, service := js.Job.Priority, js.Job.Service
-		if q := cfg.RouteByName(js.Job.Queue); q != nil {
-			priority, service = q.Priority, q.Service
-		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
 			ReadySince: since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
@@ -267,35 +287,26 @@
 	return plan.Resources{CPU: step.CPU, Memory: step.Memory, GPU: step.GPU}
 }
 
-// addWorker adds the worker's runs and, if new runs may start on it, the worker
-// to the input. The caller holds the feed's lock and l.mu.
-func (l *Leader) addWorker(in *plan.Input, s *ledger.State, w *worker, now time.Time, running map[ledger.UnitID]*plan.RunningUnit, guaranteed map[string]bool) {
-	free := w.entry.Total
-	for _, n := range w.runs {
-		js := s.Jobs[n.unit.Job]
+// addRunning adds the units with runs to the input and subtracts the resources of
+// their runs. The caller holds the feed's lock and l.mu.
+func (l *Leader) addRunning(in *plan.Input, s *ledger.State, free map[string]*plan.Resources, guaranteed map[string]bool, now time.Time) {
+	for unit, runs := range l.unitRuns {
+		js := s.Jobs[unit.Job]
 		if js == nil {
 			continue
 		}
-		step := &js.Job.Steps[n.unit.Step]
-		free = free.Sub(taskNeed(step))
-		v := running[n.unit]
-		if v == nil {
-			v = &plan.RunningUnit{ID: n.unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID]}
-			running[n.unit] = v
-			in.Running = append(in.Running, v)
+		step := &js.Job.Steps[unit.Step]
+		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs))}
+		for _, n := range runs {
+			f := free[n.worker.id]
+			*f = f.Sub(v.Need)
+			v.Workers = append(v.Workers, n.worker.id)
+			v.Stopping = v.Stopping || n.stopping || n.endProposed
+			v.RemainingMs = max(v.RemainingMs, step.Estimate-now.Sub(n.startedAt).Milliseconds())
+			v.UnsavedMs = max(v.UnsavedMs, unsavedMs(n, step, now))
 		}
-		v.Workers = append(v.Workers, w.id)
-		v.Stopping = v.Stopping || n.stopping || n.endProposed
-		v.RemainingMs = max(v.RemainingMs, step.Estimate-now.Sub(n.startedAt).Milliseconds())
-		v.UnsavedMs = max(v.UnsavedMs, unsavedMs(n, step, now))
-	}
-	if !w.usable(now) || l.Policy.Evacuated(w.entry.Zone) {
-		return
+		in.Running = append(in.Running, v)
 	}
-	in.Workers = append(in.Workers, &plan.Worker{
-		ID: w.id, Service: w.entry.Service, Rack: w.entry.Rack, Labels: w.entry.Labels,
-		Total: w.entry.Total, Free: free, Suspect: w.suspect(now),
-	})
 }
 
 // unsavedMs returns how many milliseconds of work a stop would discard. A stop
--- a/internal/fleet/ledger/job.go
+++ b/internal/fleet/ledger/job.go
@@ -42,6 +42,14 @@
 	MaxUnavailable int    `cbor:"18,keyasint,omitempty"` // greatest number of tasks that the scheduler may interrupt at the same time
 }
 
+// units returns the number of units of one occurrence of the step.
+func (s *Step) units() int {
+	if s.Gang {
+		return 1
+	}
+	return s.Count
+}
+
 // Occurrences returns the number of times that the steps of the job run.
 func (j *Job) Occurrences() int {
 	return max(j.OccurrenceCount, 1)
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -71,6 +71,10 @@
 
 // Unit returns the unit with the given ID, or nil.
 func (s *JobState) Unit(id UnitID) *Unit {
+	if i := s.unitIndex(id); i >= 0 && i < len(s.Units) && s.Units[i].ID == id {
+		return &s.Units[i]
+	}
+	// A job of another version of the program may list its units otherwise.
 	for i := range s.Units {
 		if s.Units[i].ID == id {
 			return &s.Units[i]
@@ -79,6 +83,18 @@
 	return nil
 }
 
+// unitIndex returns the index of a unit in the order of newJobState.
+func (s *JobState) unitIndex(id UnitID) int {
+	perOccurrence, before := 0, 0
+	for i := range s.Job.Steps {
+		if i == id.Step {
+			before = perOccurrence
+		}
+		perOccurrence += s.Job.Steps[i].units()
+	}
+	return id.Occurrence*perOccurrence + before + id.Index
+}
+
 // StepDone reports whether all tasks of one occurrence of a step are done.
 func (s *JobState) StepDone(occurrence, step int) bool {
 	for i := range s.Units {
@@ -116,11 +132,7 @@
 	s := &JobState{Job: j, Phase: Queued}
 	for k := range j.Occurrences() {
 		for i, step := range j.Steps {
-			n := step.Count
-			if step.Gang {
-				n = 1
-			}
-			for index := range n {
+			for index := range step.units() {
 				s.Units = append(s.Units, Unit{ID: UnitID{j.ID, k, i, index}})
 			}
 		}
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -55,6 +55,10 @@
 	Total   Resources
 	Free    Resources
 	Suspect bool // tasks of several jobs failed here recently; used last
+
+	running   []*RunningUnit // units that are not being stopped, in no order until byStopCost
+	sorted    bool           // running is in the order of byStopCost
+	releasing Resources      // of units that are being stopped
 }
 
 // HasLabel reports whether the worker has the label. Every worker has the empty
@@ -103,6 +107,10 @@
 	RemainingMs int64     // estimated time until it ends
 	Guaranteed  bool      // within its account's guarantee
 	Stopping    bool      // a stop has been requested or the run is ending
+
+	stopCost  float64         // core-seconds that a stop loses
+	preempted bool            // by this round
+	victimOf  *preemptionPlan // newest plan that chose it
 }
 
 // Reservation is an amount of resources on workers that is reserved for a unit
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -46,22 +46,22 @@
 	rackNames []string                      // sorted
 	reserved  map[ledger.UnitID]Reservation // at the start of the round
 	out       Output
-	preempted map[ledger.UnitID]bool
 
-	byStopCost    map[string][]*RunningUnit // running units by worker, the cheapest to stop first; nil until needed
+	indexed       bool                      // the running units are listed by worker
 	byRemaining   map[string][]*RunningUnit // running units by worker, the first to end first; nil until needed
-	releasing     map[string]Resources      // by worker, resources of units that are being stopped
 	nonPreemptive int                       // number of non-preemptive reservations
+
+	fit        []*Worker      // buffer of pack
+	candidates []*RunningUnit // buffer of preemptible
 }
 
-// Decide places the waiting units in the order of their urgency.
-func Decide(in Input) Output {
+// newRound returns the state of a round at its start.
+func newRound(in Input) *round {
 	r := &round{
-		in:        in,
-		workers:   make(map[string]*Worker),
-		racks:     make(map[string][]*Worker),
-		reserved:  make(map[ledger.UnitID]Reservation),
-		preempted: make(map[ledger.UnitID]bool),
+		in:       in,
+		workers:  make(map[string]*Worker, len(in.Workers)),
+		racks:    make(map[string][]*Worker),
+		reserved: make(map[ledger.UnitID]Reservation),
 	}
 	for _, w := range in.Workers {
 		r.workers[w.ID] = w
@@ -77,6 +77,12 @@
 			r.nonPreemptive++
 		}
 	}
+	return r
+}
+
+// Decide places the waiting units in the order of their urgency.
+func Decide(in Input) Output {
+	r := newRound(in)
 	reservations := slices.SortedStableFunc(slices.Values(in.Reservations), func(a, b Reservation) int { return cmp.Compare(a.Priority, b.Priority) })
 	sortWaiting(in.Waiting)
 	type stepKey struct {
@@ -113,14 +119,21 @@
 		return cmp.Or(
 			cmp.Compare(sortKey(a), sortKey(b)),
 			cmp.Compare(a.AcceptedAt, b.AcceptedAt),
-			cmp.Compare(a.ID.Job, b.ID.Job),
-			cmp.Compare(a.ID.Occurrence, b.ID.Occurrence),
-			cmp.Compare(a.ID.Step, b.ID.Step),
-			cmp.Compare(a.ID.Index, b.ID.Index),
+			compareUnits(a.ID, b.ID),
 		)
 	})
 }
 
+// compareUnits orders units by their IDs.
+func compareUnits(a, b ledger.UnitID) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
+	)
+}
+
 // sortKey combines priority, guarantee and lateness; a lower key is placed
 // first.
 func sortKey(u *WaitingUnit) int {
@@ -312,7 +325,8 @@
 // the workers with the fewest free resources first (best fit), so that large
 // free blocks stay whole. Suspect workers come last.
 func (r *round) pack(u *WaitingUnit, workers []*Worker) []string {
-	fit := make([]*Worker, 0, len(workers))
+	fit := r.fit[:0]
+	defer func() { r.fit = fit }()
 	total := 0
 	for _, w := range workers {
 		if !r.eligible(u, w) || !w.Free.Fits(u.Need) {
--- a/internal/fleet/plan/preempt.go
+++ b/internal/fleet/plan/preempt.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
 // preemptionPlan is one way to free resources for a unit.
@@ -17,12 +15,12 @@
 // preempt stops less urgent work for the unit and reserves the freed resources.
 // It reports whether it found a way.
 func (r *round) preempt(u *WaitingUnit) bool {
-	best := r.cheapestPlan(u, r.preemptible)
+	best := r.cheapestPlan(u, endingUnits{r.preemptible, preemptionCost})
 	if best == nil {
 		return false
 	}
 	for _, v := range best.victims {
-		r.preempted[v.ID] = true
+		v.preempted = true
 		r.addReleasing(v)
 		r.out.Preemptions = append(r.out.Preemptions, v)
 	}
@@ -38,7 +36,7 @@
 	if r.nonPreemptive >= maxNonPreemptive {
 		return false
 	}
-	best := r.cheapestPlan(u, r.ending)
+	best := r.cheapestPlan(u, endingUnits{r.ending, endingCost})
 	if best == nil {
 		return false
 	}
@@ -50,8 +48,8 @@
 }
 
 // cheapestPlan returns the cheapest way to free resources for the unit by the
-// end of candidates, or nil.
-func (r *round) cheapestPlan(u *WaitingUnit, candidates candidateFunc) *preemptionPlan {
+// end of other units, or nil.
+func (r *round) cheapestPlan(u *WaitingUnit, ends endingUnits) *preemptionPlan {
 	r.indexRunning()
 	var best *preemptionPlan
 	for _, ws := range r.workerGroups(u) {
@@ -59,34 +57,43 @@
 		if best != nil {
 			limit = best.cost
 		}
-		if p := r.planOn(u, ws, limit, candidates); p != nil {
+		if p := r.planOn(u, ws, limit, ends); p != nil {
 			best = p
 		}
 	}
 	return best
 }
 
-// preemptible returns the worker's units that the unit may preempt, in the
-// order in which they would be stopped, with their cost in lost core-seconds.
-// These are less urgent units and, if the unit is within its account's
-// guarantee, units of the same priority that are not within theirs.
-func (r *round) preemptible(u *WaitingUnit, w *Worker) ([]*RunningUnit, func(*RunningUnit) float64) {
-	var out, borrowed []*RunningUnit
-	for _, v := range r.byStopCost[w.ID] {
-		switch {
-		case v.Priority > u.Priority:
+// preemptible returns the worker's units that the unit may preempt, in the order
+// in which they would be stopped. These are less urgent units and, if the unit is
+// within its account's guarantee, units of the same priority that are not within
+// theirs. The result is valid until the next call.
+func (r *round) preemptible(u *WaitingUnit, w *Worker) []*RunningUnit {
+	out := r.candidates[:0]
+	running := w.byStopCost()
+	for _, v := range running {
+		if v.Priority > u.Priority {
 			out = append(out, v)
-		case v.Priority == u.Priority && u.Guaranteed && !v.Guaranteed:
-			borrowed = append(borrowed, v)
 		}
 	}
-	cost := func(v *RunningUnit) float64 {
-		if v.Priority > u.Priority {
-			return lostCoreSeconds(v)
+	if u.Guaranteed {
+		for _, v := range running {
+			if v.Priority == u.Priority && !v.Guaranteed {
+				out = append(out, v)
+			}
 		}
-		return equalPriorityCostFactor * lostCoreSeconds(v)
 	}
-	return append(out, borrowed...), cost
+	r.candidates = out
+	return out
+}
+
+// preemptionCost returns the cost of stopping the running unit for the waiting
+// one, in lost core-seconds.
+func preemptionCost(u *WaitingUnit, v *RunningUnit) float64 {
+	if v.Priority > u.Priority {
+		return v.stopCost
+	}
+	return equalPriorityCostFactor * v.stopCost
 }
 
 // suspectCostCoreSeconds is added to the cost of a worker on which runs fail or
@@ -98,50 +105,64 @@
 // stopped first.
 const equalPriorityCostFactor = 20
 
-// ending returns the worker's units in the order in which they end, with their
-// cost in seconds until then.
-func (r *round) ending(_ *WaitingUnit, w *Worker) ([]*RunningUnit, func(*RunningUnit) float64) {
+// ending returns the worker's units in the order in which they end.
+func (r *round) ending(_ *WaitingUnit, w *Worker) []*RunningUnit {
 	if r.byRemaining == nil {
 		r.byRemaining = make(map[string][]*RunningUnit)
 	}
 	vs, ok := r.byRemaining[w.ID]
 	if !ok {
-		vs = slices.SortedStableFunc(slices.Values(r.byStopCost[w.ID]), func(a, b *RunningUnit) int { return cmp.Compare(a.RemainingMs, b.RemainingMs) })
+		vs = slices.SortedStableFunc(slices.Values(w.byStopCost()), func(a, b *RunningUnit) int { return cmp.Compare(a.RemainingMs, b.RemainingMs) })
 		r.byRemaining[w.ID] = vs
 	}
-	return vs, func(v *RunningUnit) float64 { return float64(v.RemainingMs)/1000 + 0.1 }
+	return vs
 }
 
-// indexRunning lists the running units by worker, the cheapest first, and adds
-// up the resources of those that are being stopped.
+// endingCost returns the seconds until the running unit ends.
+func endingCost(_ *WaitingUnit, v *RunningUnit) float64 { return float64(v.RemainingMs)/1000 + 0.1 }
+
+// indexRunning lists the running units by worker and adds up the resources of
+// those that are being stopped.
 func (r *round) indexRunning() {
-	if r.byStopCost != nil {
+	if r.indexed {
 		return
 	}
-	r.byStopCost = make(map[string][]*RunningUnit)
-	r.releasing = make(map[string]Resources)
-	sorted := slices.SortedStableFunc(slices.Values(r.in.Running), func(a, b *RunningUnit) int {
-		return cmp.Or(cmp.Compare(lostCoreSeconds(a), lostCoreSeconds(b)), cmp.Compare(a.ID.String(), b.ID.String()))
-	})
-	for _, v := range sorted {
-		if v.Stopping || r.preempted[v.ID] {
+	r.indexed = true
+	for _, v := range r.in.Running {
+		if v.Stopping {
 			r.addReleasing(v)
 			continue
 		}
-		last := ""
-		for _, id := range slices.Sorted(slices.Values(v.Workers)) {
-			if id != last {
-				r.byStopCost[id] = append(r.byStopCost[id], v)
-				last = id
+		v.stopCost = lostCoreSeconds(v)
+		for _, id := range v.Workers {
+			w := r.workers[id]
+			if w == nil {
+				continue
+			}
+			if n := len(w.running); n == 0 || w.running[n-1] != v {
+				w.running = append(w.running, v)
 			}
 		}
 	}
 }
 
+// byStopCost returns the running units, the cheapest to stop first.
+func (w *Worker) byStopCost() []*RunningUnit {
+	if !w.sorted {
+		w.sorted = true
+		slices.SortFunc(w.running, func(a, b *RunningUnit) int {
+			return cmp.Or(cmp.Compare(a.stopCost, b.stopCost), compareUnits(a.ID, b.ID))
+		})
+	}
+	return w.running
+}
+
 // addReleasing adds the resources that a stopped unit will release.
 func (r *round) addReleasing(v *RunningUnit) {
 	for _, id := range v.Workers {
-		r.releasing[id] = r.releasing[id].Add(v.Need)
+		if w := r.workers[id]; w != nil {
+			w.releasing = w.releasing.Add(v.Need)
+		}
 	}
 }
 
@@ -165,59 +186,94 @@
 	return out
 }
 
+// offer is the cheapest way to place the next task of a unit on a worker.
+type offer struct {
+	worker  *Worker
+	free    Resources // with those of the units that will end
+	placed  int       // tasks of the unit that were placed there
+	known   bool      // the fields below are up to date
+	ok      bool      // the next task can be placed
+	victims []*RunningUnit
+	cost    float64
+}
+
 // planOn places the tasks one by one on the worker where the next one costs the
 // least. It returns nil if the tasks do not fit even so, or if their cost
 // reaches the limit. A negative limit means none.
-func (r *round) planOn(u *WaitingUnit, workers []*Worker, limit float64, candidates candidateFunc) *preemptionPlan {
-	chosen := make(map[ledger.UnitID]bool) // victims so far
-	free := make(map[string]Resources, len(workers))
+func (r *round) planOn(u *WaitingUnit, workers []*Worker, limit float64, ends endingUnits) *preemptionPlan {
+	p := &preemptionPlan{}
+	offers := make([]offer, 0, len(workers))
 	for _, w := range workers {
-		free[w.ID] = w.Free.Add(r.releasing[w.ID])
+		if r.eligible(u, w) {
+			offers = append(offers, offer{worker: w, free: w.Free.Add(w.releasing)})
+		}
 	}
-	p := &preemptionPlan{}
-	placed := make(map[string]int)
 	for range u.Width {
-		var at *Worker
-		var victims []*RunningUnit
-		least := 0.0
-		for _, w := range workers {
-			if !r.eligible(u, w) || r.limitPerWorker(u, w, 1+placed[w.ID]) < 1+placed[w.ID] {
-				continue
-			}
-			vs, cost, ok := r.selectVictims(u, w, free[w.ID], chosen, candidates)
-			if w.Suspect {
-				cost += suspectCostCoreSeconds
-			}
-			if ok && (at == nil || cost < least) {
-				at, victims, least = w, vs, cost
-				if cost == 0 {
-					break
-				}
-			}
-		}
-		if at == nil {
+		best := r.cheapestOffer(u, offers, p, ends)
+		if best == nil {
 			return nil
 		}
-		for _, v := range victims {
-			chosen[v.ID] = true
-			for _, id := range v.Workers {
-				if f, ok := free[id]; ok {
-					free[id] = f.Add(v.Need)
-				}
-			}
-			p.victims = append(p.victims, v)
-		}
-		p.cost += least
+		p.cost += best.cost
 		if limit >= 0 && p.cost >= limit {
 			return nil
 		}
-		p.workers = append(p.workers, at.ID)
-		placed[at.ID]++
-		free[at.ID] = free[at.ID].Sub(u.Need)
+		for _, v := range best.victims {
+			v.victimOf = p
+			release(offers, v)
+		}
+		p.victims = append(p.victims, best.victims...)
+		p.workers = append(p.workers, best.worker.ID)
+		best.free = best.free.Sub(u.Need)
+		best.placed++
+		best.known = false
 	}
 	return p
 }
 
+// cheapestOffer returns the first of the cheapest offers, or nil if no worker can
+// hold another task. It updates the offers that are not known.
+func (r *round) cheapestOffer(u *WaitingUnit, offers []offer, p *preemptionPlan, ends endingUnits) *offer {
+	var best *offer
+	for i := range offers {
+		o := &offers[i]
+		if !o.known {
+			r.updateOffer(u, o, p, ends)
+		}
+		if o.ok && (best == nil || o.cost < best.cost) {
+			best = o
+			if o.cost == 0 {
+				return best
+			}
+		}
+	}
+	return best
+}
+
+// updateOffer computes what the next task on the worker costs.
+func (r *round) updateOffer(u *WaitingUnit, o *offer, p *preemptionPlan, ends endingUnits) {
+	o.known = true
+	if o.ok = r.limitPerWorker(u, o.worker, 1+o.placed) > o.placed; !o.ok {
+		return
+	}
+	o.victims, o.cost, o.ok = selectVictims(u, o.worker, o.free, p, ends)
+	if o.worker.Suspect {
+		o.cost += suspectCostCoreSeconds
+	}
+}
+
+// release adds the resources of a victim to the offers of its workers.
+func release(offers []offer, v *RunningUnit) {
+	for i := range offers {
+		o := &offers[i]
+		for _, id := range v.Workers {
+			if o.worker.ID == id {
+				o.free = o.free.Add(v.Need)
+				o.known = false
+			}
+		}
+	}
+}
+
 // lostCoreSeconds returns the work that stopping the unit loses, plus a small
 // fixed cost of the stop itself.
 func lostCoreSeconds(v *RunningUnit) float64 {
@@ -226,28 +282,31 @@
 	return seconds * v.Need.CoreEquivalents() * float64(len(v.Workers))
 }
 
-// candidateFunc returns the worker's units whose end could free resources for
-// the unit, in the order of preference, and a function that returns the cost of
-// each.
-type candidateFunc func(u *WaitingUnit, w *Worker) ([]*RunningUnit, func(*RunningUnit) float64)
+// endingUnits tells which units' ends could free resources.
+type endingUnits struct {
+	// on returns units on the worker, in the order of preference. The result is
+	// valid until the next call.
+	on func(u *WaitingUnit, w *Worker) []*RunningUnit
+	// cost returns the cost of waiting for the end of one of them.
+	cost func(u *WaitingUnit, v *RunningUnit) float64
+}
 
-// selectVictims returns the first of the worker's candidates that together free
-// enough resources for one task.
-func (r *round) selectVictims(u *WaitingUnit, w *Worker, free Resources, chosen map[ledger.UnitID]bool, candidates candidateFunc) (victims []*RunningUnit, total float64, ok bool) {
+// selectVictims returns the first of the worker's units that together free enough
+// resources for one task. It leaves out those that the plan has chosen before.
+func selectVictims(u *WaitingUnit, w *Worker, free Resources, p *preemptionPlan, ends endingUnits) (victims []*RunningUnit, total float64, ok bool) {
 	if free.Fits(u.Need) {
 		return nil, 0, true
 	}
-	vs, cost := candidates(u, w)
-	for _, v := range vs {
+	for _, v := range ends.on(u, w) {
 		if free.Fits(u.Need) {
 			break
 		}
-		if chosen[v.ID] || r.preempted[v.ID] {
+		if v.victimOf == p || v.preempted {
 			continue
 		}
 		victims = append(victims, v)
-		total += cost(v)
-		free = free.Add(v.Need) // at least one task of the candidate runs on this worker
+		total += ends.cost(u, v)
+		free = free.Add(v.Need) // at least one task of the unit runs on this worker
 	}
 	return victims, total, free.Fits(u.Need)
 }
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -15,7 +15,8 @@
 	Accounts map[string]Account
 	Limits   Limits
 
-	keys map[string]string // name of the account by API key
+	keys   map[string]string // name of the account by API key
+	routes map[string]*Route // by name
 }
 
 // Route describes a queue of jobs and the requests that go to it.
@@ -54,8 +55,12 @@
 	IdleTimeoutMs   int64
 }
 
-// BuildKeyIndex prepares AccountByKey. Current.Set calls it.
-func (c *Config) BuildKeyIndex() {
+// BuildIndex prepares AccountByKey and RouteByName. Current.Set calls it.
+func (c *Config) BuildIndex() {
+	c.routes = make(map[string]*Route, len(c.Routes))
+	for i := range c.Routes {
+		c.routes[c.Routes[i].Name] = &c.Routes[i]
+	}
 	c.keys = make(map[string]string)
 	for _, a := range c.Accounts {
 		for _, k := range a.Keys {
@@ -78,14 +83,7 @@
 }
 
 // RouteByName returns the route with the name, or nil.
-func (c *Config) RouteByName(name string) *Route {
-	for i := range c.Routes {
-		if c.Routes[i].Name == name {
-			return &c.Routes[i]
-		}
-	}
-	return nil
-}
+func (c *Config) RouteByName(name string) *Route { return c.routes[name] }
 
 // AccountByKey returns the name of the account with the API key.
 func (c *Config) AccountByKey(key string) (string, bool) {
@@ -110,7 +108,7 @@
 		if old != nil && c.Version <= old.Version {
 			return false
 		}
-		c.BuildKeyIndex()
+		c.BuildIndex()
 		if p.config.CompareAndSwap(old, c) {
 			return true
 		}
