--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -100,6 +100,8 @@
 		Metrics:      &metric.Set{},
 		Append:       store.Append,
 		Read:         store.Read,
+		LoadSnapshot: store.LoadSnapshot,
+		SaveSnapshot: store.SaveSnapshot,
 		WorkerClient: workers.WorkerClient(),
 		WatchConfig:  store.WatchConfig,
 		WatchWorkers: store.WatchWorkers,
--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -48,6 +48,9 @@
 	f.term = &term{epoch: c.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
 	f.Logger.Info("this instance became the leader", zap.Uint64("epoch", c.Epoch), zap.Uint64("offset", f.next))
 	go f.commitLoop(ctx, f.term)
+	if f.SaveSnapshot != nil {
+		go f.snapshotLoop(ctx)
+	}
 	if f.OnLead != nil {
 		f.OnLead(ctx, c.Epoch, f.state)
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -64,6 +64,15 @@
 	Read        func(ctx context.Context, from uint64, wait time.Duration) (Page, error)
 	Logger      *zap.Logger
 
+	// LoadSnapshot, if set, returns the newest stored snapshot, or nothing if
+	// there is none. SaveSnapshot stores one.
+	LoadSnapshot func(ctx context.Context) ([]byte, error)
+	SaveSnapshot func(ctx context.Context, data []byte) error
+
+	// MinSnapshotLag is the smallest size in bytes of the records since the last
+	// snapshot at which another one is written; default 256 KiB.
+	MinSnapshotLag int
+
 	// ClaimDelay delays the claims of this instance, so that instances with more
 	// CPU time claim first.
 	ClaimDelay time.Duration
@@ -105,6 +114,7 @@
 	// record of a leader has been read since.
 	claimConflictEnd uint64
 
+	snapshot      snapshotState
 	appendTimeout appendTimeout
 	syncSlot      chan struct{} // holds a token while a Sync reads the log
 }
@@ -121,6 +131,10 @@
 		if f.Leading() {
 			wait = leadPollWait
 		}
+		if !f.loadSnapshot(ctx) {
+			delay.For(ctx, retryPause)
+			continue
+		}
 		began := time.Now()
 		n, err := f.poll(ctx, wait)
 		if err != nil {
@@ -222,14 +236,15 @@
 	}
 }
 
-// skipExpired continues at the oldest retained record. Every live job is
-// rewritten in full within the retention time, so the state is complete once the
-// end of the log is reached.
+// skipExpired continues at the oldest retained record, or at the newest snapshot
+// if that is newer. Every live job is rewritten in full within the retention time,
+// so the state is complete once the end of the log is reached.
 func (f *Feed) skipExpired(from, first uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next == from {
 		f.next = first
+		f.snapshot.loaded, f.snapshot.loadAttempts = false, 0
 	}
 	f.Logger.Info("records expired before they were read; continuing at the oldest retained record", zap.Uint64("from", from), zap.Uint64("first", first))
 }
@@ -265,12 +280,13 @@
 // applyRecord applies one encoded record and skips one that cannot be decoded.
 // The caller holds the lock.
 func (f *Feed) applyRecord(offset uint64, data []byte) {
+	f.snapshot.lag += len(data)
 	r, err := ledger.Decode(data)
 	if err != nil {
 		f.Logger.Warn("record skipped: it could not be decoded", zap.Uint64("offset", offset), zap.Error(err))
 		return
 	}
-	effective := f.state.Apply(offset, r)
+	effective := f.state.Apply(r)
 	switch {
 	case r.Claim != nil && effective:
 		f.claimApplied(*r.Claim)
--- /dev/null
+++ b/internal/fleet/feed/snapshot.go
@@ -0,0 +1,142 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/delay"
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+const (
+	// defaultMinSnapshotLag is the size of the records up to which reading them
+	// costs a starting instance less than a snapshot: one page.
+	defaultMinSnapshotLag = 256 << 10
+
+	// snapshotCheckPeriod is the time between two checks of whether a snapshot is
+	// due.
+	snapshotCheckPeriod = 500 * time.Millisecond
+
+	// snapshotTimeout bounds the time to store one snapshot.
+	snapshotTimeout = 3 * time.Second
+
+	// loadTimeout bounds the time to read a snapshot. All instances may read it
+	// at once after a loss of power.
+	loadTimeout = 4 * time.Second
+
+	// maxLoadAttempts is how often reading the snapshot is tried before the log
+	// is read from its oldest record.
+	maxLoadAttempts = 3
+)
+
+// snapshotState is what a feed knows about the snapshots of the log.
+type snapshotState struct {
+	loaded       bool // the snapshot was read, or is not to be
+	loadAttempts int
+	lag          int // bytes of the records since the newest known snapshot
+	size         int // bytes of that snapshot
+}
+
+// loadSnapshot continues from the newest snapshot, if it is newer than the state.
+// It reports whether the log can be read from there on.
+func (f *Feed) loadSnapshot(ctx context.Context) bool {
+	f.mu.Lock()
+	loaded := f.snapshot.loaded || f.LoadSnapshot == nil
+	f.mu.Unlock()
+	if loaded {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	data, err := f.LoadSnapshot(ctx)
+	var state *ledger.State
+	var next uint64
+	if err == nil && len(data) > 0 {
+		state, next, err = ledger.DecodeSnapshot(data)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.snapshot.loadAttempts++
+		f.snapshot.loaded = f.snapshot.loadAttempts >= maxLoadAttempts
+		f.Logger.Warn("reading the snapshot failed", zap.Int("attempt", f.snapshot.loadAttempts), zap.Bool("without", f.snapshot.loaded), zap.Error(err))
+		return f.snapshot.loaded
+	}
+	f.snapshot.loaded = true
+	if state == nil || next <= f.next {
+		return true
+	}
+	f.state, f.next = state, next
+	f.seenLeaderRecords = state.LeaderRecords
+	f.snapshot.lag, f.snapshot.size = 0, len(data)
+	f.notifyChanged()
+	f.Logger.Info("snapshot loaded", zap.Uint64("offset", next), zap.Int("bytes", len(data)), zap.Int("jobs", len(state.Jobs)))
+	return true
+}
+
+// snapshotLoop writes a snapshot whenever one is due, until the term ends. A
+// snapshot is due when the records since the last one have more bytes than it: a
+// starting instance then reads at most about twice the snapshot's size.
+func (f *Feed) snapshotLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		delay.For(ctx, snapshotCheckPeriod)
+		if err := f.writeDueSnapshot(ctx); err != nil && ctx.Err() == nil {
+			f.Logger.Warn("writing a snapshot failed; trying again", zap.Error(err))
+		}
+	}
+}
+
+// writeDueSnapshot writes a snapshot if one is due.
+func (f *Feed) writeDueSnapshot(ctx context.Context) error {
+	f.mu.Lock()
+	lag, next := f.snapshot.lag, f.next
+	if !f.caughtUp || f.readsFailing || lag <= max(f.snapshot.size, f.minSnapshotLag()) {
+		f.mu.Unlock()
+		return nil
+	}
+	plain, err := f.state.MarshalSnapshot(next)
+	f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	data, err := ledger.CompressSnapshot(plain)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	if err := f.SaveSnapshot(ctx, data); err != nil {
+		return &SnapshotError{next, err}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot.lag -= lag
+	f.snapshot.size = len(data)
+	f.Logger.Info("snapshot written", zap.Uint64("offset", next), zap.Int("bytes", len(data)), zap.Int("lag", lag))
+	return nil
+}
+
+// minSnapshotLag returns MinSnapshotLag or its default.
+func (f *Feed) minSnapshotLag() int {
+	if f.MinSnapshotLag > 0 {
+		return f.MinSnapshotLag
+	}
+	return defaultMinSnapshotLag
+}
+
+// SnapshotError reports a snapshot that was not stored.
+type SnapshotError struct {
+	Offset uint64
+	Err    error
+}
+
+// Error returns a message with the offset and the cause.
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("store snapshot at offset %d: %v", e.Offset, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Err }
--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -22,6 +22,7 @@
 	epoch       uint64
 	seq         uint64
 	offsetBySeq map[uint64]uint64 // offset by sequence number, of the epoch's newest appends
+	snapshots   [][]byte          // oldest first
 	changed     chan struct{}
 
 	faults LogFaults
@@ -36,6 +37,7 @@
 	DelayedAppendRate float64         // share of appends that are stored 1 s to 6 s later and not answered
 	ResponseDelay     time.Duration   // delay of each answer
 	FirstOffset       uint64          // records before this offset have expired
+	OldSnapshotRate   float64         // share of reads that return an older snapshot
 }
 
 // defaultResponseDelay is the delay of each answer of a log without faults.
@@ -166,6 +168,41 @@
 	}
 }
 
+// SaveSnapshot stores a snapshot of the instance, subject to the faults.
+func (l *Log) SaveSnapshot(ctx context.Context, instance string, data []byte) error {
+	if err := l.Admit(ctx, instance); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.snapshots = append(l.snapshots, data)
+	return nil
+}
+
+// LoadSnapshot returns the newest snapshot, subject to the faults.
+func (l *Log) LoadSnapshot(ctx context.Context, instance string) ([]byte, error) {
+	if err := l.Admit(ctx, instance); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.snapshots)
+	if n == 0 {
+		return nil, nil
+	}
+	if n > 1 && l.rnd.Float64() < l.faults.OldSnapshotRate {
+		return l.snapshots[l.rnd.IntN(n)], nil
+	}
+	return l.snapshots[n-1], nil
+}
+
+// Snapshots returns the number of snapshots stored so far.
+func (l *Log) Snapshots() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.snapshots)
+}
+
 // End returns the offset of the next append.
 func (l *Log) End() uint64 {
 	l.mu.Lock()
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -41,6 +41,7 @@
 	changeSettings func(s *Settings) // called before the start of each incarnation
 	lines          *logLines
 	link           *slowLink // network link that all instances share; nil is unlimited
+	minSnapshotLag int       // see feed.Feed
 
 	mu          sync.Mutex
 	evacuations []policy.Evacuation // all requests and withdrawals, oldest first
@@ -122,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, changeSettings: change, lines: newLogLines()}
+		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, changeSettings: change, lines: newLogLines(), minSnapshotLag: 2 << 10}
 		c.workers = fleettest.NewWorkers(rand.New(rand.NewPCG(seed, 3)), r)
 		for i := range workers {
 			c.workers.Add(&fleettest.Worker{
@@ -195,6 +196,18 @@
 			_ = gate(ctx)
 			return p, err
 		},
+		SaveSnapshot: func(ctx context.Context, data []byte) error {
+			if err := gate(ctx); err != nil {
+				return err
+			}
+			return c.log.SaveSnapshot(ctx, n.name, data)
+		},
+		LoadSnapshot: func(ctx context.Context) ([]byte, error) {
+			if err := gate(ctx); err != nil {
+				return nil, err
+			}
+			return c.log.LoadSnapshot(ctx, n.name)
+		},
 		WorkerClient: leader.WorkerClient{
 			Start: func(ctx context.Context, t leader.Target, req leader.StartRequest) error {
 				if err := gate(ctx); err != nil {
@@ -243,6 +256,7 @@
 	inst := n.current
 	c.changeSettings(&inst.Settings)
 	inst.Init()
+	inst.Feed.MinSnapshotLag = c.minSnapshotLag
 	inst.Policy.Set(config())
 	c.mu.Lock()
 	inst.Policy.ChangeEvacuations(c.evacuations)
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -166,6 +166,7 @@
 			})
 		}
 	}
+	h.c.log.SetFaults(func(l *fleettest.LogFaults) { l.OldSnapshotRate = 0.2 })
 	if h.rnd.IntN(3) == 0 {
 		h.c.workers.WithLock(func() { h.c.workers.FailureRate = 0.1 })
 	}
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -82,6 +82,8 @@
 
 	Append        func(ctx context.Context, b feed.Batch) (uint64, error)
 	Read          func(ctx context.Context, from uint64, wait time.Duration) (feed.Page, error)
+	LoadSnapshot  func(ctx context.Context) ([]byte, error)    // see feed.Feed
+	SaveSnapshot  func(ctx context.Context, data []byte) error // see feed.Feed
 	WorkerClient  leader.WorkerClient
 	Machines      func(ctx context.Context) ([]leader.Machine, error) // nil if the platform has no list of machines
 	WatchConfig   func(ctx context.Context, current *policy.Current, log *zap.Logger)
@@ -130,6 +132,7 @@
 	n.Policy = &policy.Current{}
 	n.Feed = &feed.Feed{
 		Instance: n.Settings.Node, Incarnation: incarnation, Append: n.Append, Read: n.Read, Logger: n.Logger,
+		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot,
 		ClaimDelay: n.Settings.claimDelay(), OnLead: n.startLeader, OnApply: n.recordApplied,
 	}
 	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -136,7 +136,7 @@
 	l := testLeader()
 	s := ledger.NewState()
 	j := ledger.Job{ID: "a", Steps: []ledger.Step{{Count: 3, Gang: true}}}
-	s.Apply(0, ledger.Record{Submit: &j})
+	s.Apply(ledger.Record{Submit: &j})
 	now := time.Now()
 	for i, percent := range []float64{30, 29, 3} {
 		w := newWorker(string(rune('a'+i)), now)
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -1,14 +1,13 @@
 package ledger
 
-// Apply applies the record at the given log offset and reports whether it had
-// an effect. Records of an epoch that has ended, of an unknown job or of a run
+// Apply applies the next record of the log and reports whether it had an effect. Records of an epoch that has ended, of an unknown job or of a run
 // that is not current have no effect.
-func (s *State) Apply(offset uint64, r Record) bool {
+func (s *State) Apply(r Record) bool {
 	switch {
 	case r.Claim != nil:
 		return s.applyClaim(*r.Claim)
 	case r.Submit != nil:
-		return s.applySubmit(offset, *r.Submit)
+		return s.applySubmit(*r.Submit)
 	case r.Cancel != nil:
 		return s.applyCancel(*r.Cancel)
 	case r.Start != nil:
@@ -22,7 +21,7 @@
 		s.NoLeader = s.NoLeader || ok
 		return ok
 	case r.Rewrite != nil:
-		return s.applyRewrite(offset, r.Rewrite)
+		return s.applyRewrite(r.Rewrite)
 	case r.Join != nil:
 		s.Peers[r.Join.Instance] = r.Join.Addr
 		return true
@@ -54,13 +53,11 @@
 }
 
 // applySubmit adds a job unless one with the same ID exists.
-func (s *State) applySubmit(offset uint64, j Job) bool {
+func (s *State) applySubmit(j Job) bool {
 	if _, ok := s.Jobs[j.ID]; ok {
 		return false
 	}
-	js := newJobState(j)
-	js.FullRecordOffset = offset
-	s.Jobs[j.ID] = js
+	s.Jobs[j.ID] = newJobState(j)
 	return true
 }
 
@@ -167,7 +164,7 @@
 
 // applyRewrite replaces the state of a job by the one in the record. It rejects
 // a job without an ID and units of steps that the job does not have.
-func (s *State) applyRewrite(offset uint64, c *JobState) bool {
+func (s *State) applyRewrite(c *JobState) bool {
 	if c.Job.ID == "" {
 		return false
 	}
@@ -177,7 +174,6 @@
 		}
 	}
 	js := *c
-	js.FullRecordOffset = offset
 	s.Jobs[js.Job.ID] = &js
 	return true
 }
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -57,12 +57,12 @@
 			is := is.New(t)
 			s := NewState()
 			effective := false
-			for i, r := range tt.records {
+			for _, r := range tt.records {
 				data, err := Encode(r)
 				is.NoErr(err)
 				got, err := Decode(data)
 				is.NoErr(err)
-				effective = s.Apply(uint64(i), got)
+				effective = s.Apply(got)
 			}
 			is.Equal(effective, tt.effective)
 			is.Equal(s.Jobs["a"].Phase, tt.want)
@@ -70,10 +70,10 @@
 	}
 }
 
-// Guards against a rewritten job that differs from the state it was written from.
-// An instance that reads only the rewritten job would then hold another state
+// Guards against a rewritten job or a snapshot that differs from the state it was
+// written from. An instance that reads only these would then hold another state
 // than one that has applied the original records.
-func TestCarryIsTheState(t *testing.T) {
+func TestRewriteAndSnapshot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, rewritten := NewState(), NewState()
 		var records []Record
@@ -92,8 +92,8 @@
 				records = append(records, Record{Cancel: &Cancel{ID: job, At: 3}})
 			}
 		}
-		for i, r := range records {
-			s.Apply(uint64(i), r)
+		for _, r := range records {
+			s.Apply(r)
 		}
 		for _, js := range s.Jobs {
 			data, err := Encode(Record{Rewrite: js})
@@ -104,7 +104,32 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			rewritten.Apply(0, r)
+			rewritten.Apply(r)
+		}
+		plain, err := s.MarshalSnapshot(uint64(len(records)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := CompressSnapshot(plain)
+		if err != nil {
+			t.Fatal(err)
+		}
+		loaded, next, err := DecodeSnapshot(data)
+		if err != nil || next != uint64(len(records)) || loaded.Epoch != s.Epoch || loaded.LeaderRecords != s.LeaderRecords {
+			t.Fatalf("snapshot %+v at %d, %v; state %+v", loaded, next, err, s)
+		}
+		for id, js := range s.Jobs {
+			if js.Phase.Final() && !js.Active() {
+				if loaded.Jobs[id].Phase != js.Phase || loaded.Jobs[id].EndedAt != js.EndedAt {
+					t.Fatalf("ended job %+v, in the snapshot %+v", js, loaded.Jobs[id])
+				}
+				continue
+			}
+			want, _ := Encode(Record{Rewrite: js})
+			got, _ := Encode(Record{Rewrite: loaded.Jobs[id]})
+			if !bytes.Equal(want, got) {
+				t.Fatalf("job %s: %+v, in the snapshot %+v", id, js, loaded.Jobs[id])
+			}
 		}
 		for id, js := range s.Jobs {
 			want, _ := Encode(Record{Rewrite: js})
@@ -116,6 +141,31 @@
 	})
 }
 
+// Guards against a malformed snapshot that crashes the process.
+func FuzzDecodeSnapshot(f *testing.F) {
+	s := NewState()
+	s.Apply(submit("a", Step{Count: 2}))
+	plain, err := s.MarshalSnapshot(1)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(plain)
+	f.Fuzz(func(t *testing.T, plain []byte) {
+		data, err := CompressSnapshot(plain)
+		if err != nil {
+			return
+		}
+		s, _, err := DecodeSnapshot(data)
+		if err != nil {
+			return
+		}
+		s.Apply(claim(1))
+		s.Apply(start(1, "a", 1, "v"))
+		s.Apply(end(1, "a", 1, 0, Failed))
+		_, _, _ = DecodeSnapshot(plain)
+	})
+}
+
 // Guards against malformed records that crash the process, either when they are
 // decoded or when they are applied.
 func FuzzDecode(f *testing.F) {
@@ -132,9 +182,9 @@
 			return
 		}
 		s := NewState()
-		s.Apply(0, claim(1))
-		s.Apply(1, r)
-		s.Apply(2, start(1, "a", 1, "v", "w"))
-		s.Apply(3, end(1, "a", 1, 0, Failed))
+		s.Apply(claim(1))
+		s.Apply(r)
+		s.Apply(start(1, "a", 1, "v", "w"))
+		s.Apply(end(1, "a", 1, 0, Failed))
 	})
 }
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -52,12 +52,11 @@
 
 // JobState is a job and the state of its units.
 type JobState struct {
-	Job              Job    `cbor:"1,keyasint"`
-	Phase            Phase  `cbor:"2,keyasint"`
-	Units            []Unit `cbor:"3,keyasint,omitempty"`
-	EndedAt          int64  `cbor:"4,keyasint,omitempty"` // Unix ms
-	UndoneUnits      int    `cbor:"5,keyasint,omitempty"` // units that are not done
-	FullRecordOffset uint64 `cbor:"-"`                    // log offset of the newest record that contains the whole job
+	Job         Job    `cbor:"1,keyasint"`
+	Phase       Phase  `cbor:"2,keyasint"`
+	Units       []Unit `cbor:"3,keyasint,omitempty"`
+	EndedAt     int64  `cbor:"4,keyasint,omitempty"` // Unix ms
+	UndoneUnits int    `cbor:"5,keyasint,omitempty"` // units that are not done
 }
 
 // Width returns the number of tasks of the unit: 1, or the size of the gang.
