Tell by which version of the configuration a request was handled

Cause: logs and metrics could not tell the hypotheses of the configuration incident apart. Nothing named the version by which a request was handled, a version that was read and ignored left no line, and nobody could see how long ago an instance had last read the configuration.

--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -110,7 +110,7 @@
 		WatchConfig:  store.WatchConfig,
 		WatchWorkers: store.WatchWorkers,
 		CallerHandler: func(n *instance.Instance) http.Handler {
-			return &platform.CallerHandler{Intake: n.Intake, Policy: n.Policy, Metrics: n.Metrics, Draining: n.Draining}
+			return &platform.CallerHandler{Intake: n.Intake, Policy: n.Policy, Metrics: n.Metrics, Logger: n.Logger, Draining: n.Draining}
 		},
 		ReadyHandler: func(n *instance.Instance) http.Handler { return &platform.ReadyHandler{Check: n.CheckReady} },
 	}
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -307,9 +307,10 @@
 		j.Attempts = config().Routes[0].Attempts
 		c.rules.Jobs[j.ID] = j
 	})
+	cfg := config()
 	for range 40 {
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-		res := n.instance().Intake.Submit(ctx, config().MatchRoute("lane", fmt.Sprintf("/%d/", j.Priority)), "schools", j)
+		res := n.instance().Intake.Submit(ctx, cfg, cfg.MatchRoute("lane", fmt.Sprintf("/%d/", j.Priority)), "schools", j)
 		cancel()
 		if res.Outcome == intake.Accepted {
 			return true
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -208,7 +208,8 @@
 		submit := func() string {
 			ctx, cancel := context.WithTimeout(c.ctx, 100*time.Millisecond)
 			defer cancel()
-			return c.nodes[1].instance().Intake.Submit(ctx, config().MatchRoute("lane", "/1/"), "schools", j).Outcome.String()
+			cfg := config()
+			return c.nodes[1].instance().Intake.Submit(ctx, cfg, cfg.MatchRoute("lane", "/1/"), "schools", j).Outcome.String()
 		}
 		is.Equal(submit(), "notrun")
 		c.log.ClearFaults()
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -141,6 +141,7 @@
 	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
 	if n.Metrics != nil {
 		n.Metrics.AddGauge("feed", func() any { return n.Feed.Status() })
+		n.Metrics.AddGauge("config", func() any { return n.Policy.Status() })
 	}
 }
 
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -98,14 +98,15 @@
 	return time.Now()
 }
 
-// Submit appends a job of the route's queue to the log.
-func (n *Intake) Submit(ctx context.Context, route *policy.Route, account string, j ledger.Job) Result {
+// Submit appends a job to the log. cfg is the configuration with the route of
+// its queue.
+func (n *Intake) Submit(ctx context.Context, cfg *policy.Config, route *policy.Route, account string, j ledger.Job) Result {
 	j.Queue, j.Service, j.Account = route.Name, route.Service, account
 	j.Priority, j.Attempts, j.Stretch, j.Target = route.Priority, route.Attempts, route.Stretch, route.Target
 	j.AcceptedAt, j.Instance = n.now().UnixMilli(), n.Node
 	stored := func(s *ledger.State) bool { return s.Jobs[j.ID] != nil }
 	res := n.appendRecord(ctx, ledger.Record{Submit: &j}, stored)
-	n.Logger.Info("submit", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("account", account),
+	n.Logger.Info("submit", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("account", account), zap.Int64("config", cfg.Version),
 		zap.Stringer("fate", res.Outcome), zap.String("cause", res.Cause), zap.Int64("took", n.now().UnixMilli()-j.AcceptedAt))
 	return res
 }
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Config is one version of the operators' configuration. It must not be changed
@@ -94,7 +95,8 @@
 // Current holds the newest configuration and the newest evacuations seen; older
 // versions never replace them.
 type Current struct {
-	config atomic.Pointer[Config]
+	config   atomic.Pointer[Config]
+	lastRead atomic.Pointer[time.Time]
 
 	evacuationsMu sync.Mutex // held by writers of evacuations
 	evacuations   atomic.Pointer[map[string]Evacuation]
@@ -117,3 +119,29 @@
 
 // Get returns the current configuration, or nil before the first Set.
 func (p *Current) Get() *Config { return p.config.Load() }
+
+// MarkRead notes that the store was read for newer versions and that all it
+// returned has been passed to Set.
+func (p *Current) MarkRead() {
+	now := time.Now()
+	p.lastRead.Store(&now)
+}
+
+// Status describes how current the configuration is.
+type Status struct {
+	Version int64
+	Age     time.Duration // time since the store was last read for newer versions
+}
+
+// Status reports how current the configuration is. It is zero before the first
+// read.
+func (p *Current) Status() Status {
+	var st Status
+	if at := p.lastRead.Load(); at != nil {
+		st.Age = time.Since(*at)
+	}
+	if c := p.Get(); c != nil {
+		st.Version = c.Version
+	}
+	return st
+}
