Say in the log why a run is lost

Cause: a run that is lost because its worker left, restarted, was unreachable or did not know it was the same in the log, so it could not be seen which runs a crash of a worker hit, nor whether the worker had ever reported them. Change: all ways in which runs are lost go through leader/lost.go and log the line 'run lost' with the cause, how long the run lasted and whether the worker had reported it. TestLogsFollowJob expects the new message in place of 'run left behind'. What is recorded and done does not change.

--- a/internal/fleet/instance/logline_test.go
+++ b/internal/fleet/instance/logline_test.go
@@ -31,7 +31,7 @@
 		is.Equal(c.phase(entry, "a"), ledger.Finished)
 		got := c.lines.about("a")
 		want := []string{
-			entry.name + " submit", first.name + " start", second.name + " run left behind",
+			entry.name + " submit", first.name + " start", second.name + " run lost",
 			second.name + " start", second.name + " job done",
 		}
 		is.Equal(len(got), len(want))
--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -97,7 +97,11 @@
 		if w.absentLists++; w.absentLists < minAbsentLists {
 			continue
 		}
-		ends := l.endRuns(w)
+		cause := lossVanished
+		if w.entry.Draining {
+			cause = lossDrained
+		}
+		ends := l.endLost(w, w.unendedRuns(), cause, time.Now())
 		if len(ends) > 0 {
 			l.Logger.Info("worker has left the platform; its runs are lost", zap.String("worker", w.id), zap.Int("runs", len(ends)), zap.Int("machines", len(machines)), zap.Duration("silent", time.Since(w.lastAnswer)))
 		}
@@ -106,20 +110,6 @@
 	return records
 }
 
-// endRuns marks the runs of a worker on which nothing runs any more as lost and
-// returns the records of their ends. The caller holds l.mu.
-func (l *Leader) endRuns(w *worker) []ledger.Record {
-	now := time.Now()
-	var records []ledger.Record
-	for _, n := range w.runs {
-		if !n.endProposed {
-			l.Logger.Info("run left behind", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Duration("silent", now.Sub(w.lastAnswer)))
-			records = append(records, l.endRun(n, ledger.WorkerLost, n.checkpoint, now))
-		}
-	}
-	return records
-}
-
 // evacuate stops the units that would not end before the draining worker
 // leaves, so that they continue on other workers at once. The caller holds the
 // feed's lock and l.mu.
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -200,14 +200,19 @@
 			records = append(records, l.recordEnd(w, t, now)...)
 		}
 	}
-	for key, n := range w.runs {
+	var lost []*run
+	for _, n := range w.unendedRuns() {
 		// A report that was requested before the worker accepted the run may be
 		// older than the run, even if the worker has restarted in between.
-		if !present[key] && !n.endProposed && !n.acceptedAt.IsZero() && n.acceptedAt.Before(sent) {
-			records = append(records, l.endRun(n, ledger.WorkerLost, n.checkpoint, now))
-			l.Logger.Info("run lost; the worker does not report it", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", key.run), zap.Bool("restarted", restarted))
+		if !present[n.key] && !n.acceptedAt.IsZero() && n.acceptedAt.Before(sent) {
+			lost = append(lost, n)
 		}
 	}
+	cause := lossMissing
+	if restarted {
+		cause = lossRestarted
+	}
+	records = append(records, l.endLost(w, lost, cause, now)...)
 	stops := w.updateOrphans(orphans, now)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
@@ -269,7 +274,7 @@
 	if len(w.runs) == 0 || now.Before(leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
 		return
 	}
-	records := l.endRuns(w)
+	records := l.endLost(w, w.unendedRuns(), lossUnreachable, now)
 	if len(records) == 0 {
 		return
 	}
