Give up a job whose task crashes worker after worker

Cause: a run whose worker is gone ended as lost, whatever had become of the worker, and lost runs count for nothing. The class of fault: a retry without a budget. Change: a run that its worker never reported before it left without draining, or restarted, ends as crashed (all runs there if each was reported). The replicated state counts crashes by task, over changes of the leader, and fails the job at the third; a run of ten minutes clears the task. Start records name the incarnation of each worker, so a new leader can tell a restart from a report without the run, and no start request is repeated to another incarnation. A task under which a worker crashed starts on the emptiest workers, and other work starts beside it last, so that a second crash hits little else. Evidence: TestTaskThatCrashesWorkers failed on the old code in all seven cases and passes 20 times in a row.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -33,8 +33,22 @@
 	doneAcked    map[leader.TaskID]bool // the system acknowledged that the task ended as done
 	stepFinished map[stepKey]bool       // a task of the step ended as done, which is enough for a gang
 	failures     map[leader.TaskID]int  // acknowledged failures
+	failedRuns   map[leader.TaskID]int  // runs that failed
+	crashes      map[leader.TaskID]int  // workers that crashed while they ran the task
+	deadlyStarts map[leader.TaskID]int  // starts of a deadly task after maxCrashes crashes
 }
 
+const (
+	// maxCrashes is the number of crashed workers after which a task that
+	// crashes them may be started only maxDeadlyStarts times more.
+	maxCrashes      = 3
+	maxDeadlyStarts = 2
+
+	// minCrashesToFail is the number of crashed workers after which a task may
+	// be given up.
+	minCrashesToFail = 2
+)
+
 // NewChecker returns a checker without violations.
 func NewChecker() *Checker {
 	return &Checker{
@@ -47,6 +61,9 @@
 		doneAcked:    make(map[leader.TaskID]bool),
 		stepFinished: make(map[stepKey]bool),
 		failures:     make(map[leader.TaskID]int),
+		failedRuns:   make(map[leader.TaskID]int),
+		crashes:      make(map[leader.TaskID]int),
+		deadlyStarts: make(map[leader.TaskID]int),
 	}
 }
 
@@ -103,6 +120,11 @@
 	if j.Attempts > 0 && r.failures[o.Task] >= j.Attempts && !s.LongRunning {
 		r.addViolation("BUDGET", o.Task, " run ", o.Run)
 	}
+	if ws.DeadlyJobs[j.ID] && r.crashes[o.Task] >= maxCrashes {
+		if r.deadlyStarts[o.Task]++; r.deadlyStarts[o.Task] > maxDeadlyStarts {
+			r.addViolation("BUDGET", o.Task, " run ", o.Run, " after it crashed ", r.crashes[o.Task], " workers")
+		}
+	}
 	r.checkMaxPerWorker(w, o, s)
 	return true
 }
@@ -157,6 +179,28 @@
 	return wrong
 }
 
+// FailedWithoutCause describes a job shown as failed of which no task has failed
+// too often or may be given up for the workers that crashed under it.
+func (r *Checker) FailedWithoutCause(id string) []string {
+	j := r.Jobs[id]
+	gangFailures := make(map[stepKey]int)
+	for task, n := range r.failedRuns {
+		if task.Job != id {
+			continue
+		}
+		gangFailures[stepOf(task)] += n
+		if n >= j.Attempts || j.Steps[task.Step].Gang && gangFailures[stepOf(task)] >= j.Attempts {
+			return nil
+		}
+	}
+	for task, n := range r.crashes {
+		if task.Job == id && n >= minCrashesToFail {
+			return nil
+		}
+	}
+	return []string{"LOST: " + id + " is shown as failed without cause"}
+}
+
 func (r *Checker) stepDone(j ledger.Job, occurrence, n int) bool {
 	s := j.Steps[n]
 	if s.Gang {
@@ -175,6 +219,9 @@
 		r.done[run.task] = true
 		r.stepFinished[stepOf(run.task)] = true
 	}
+	if how == ledger.Failed {
+		r.failedRuns[run.task]++
+	}
 }
 
 // recordAck records an end that the system acknowledged as stored.
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -23,6 +23,9 @@
 	StopGrace   = 100 * time.Millisecond
 
 	tickInterval = 10 * time.Millisecond
+
+	deadlyDelay = 10 * time.Millisecond // from the start of a deadly task to the crash of its worker
+	crashTime   = 3 * time.Second       // from the crash to the worker's return
 )
 
 // UnknownWorkerError reports a request to a worker that does not exist.
@@ -88,13 +91,15 @@
 	LostResponseRate float64         // share of requests that take effect but are not answered
 	FailingJobs      map[string]bool // jobs of which every run fails
 	FailureRate      float64         // share of runs that fail
+	DeadlyJobs       map[string]bool // jobs whose tasks crash each worker that starts them
+	ReplaceCrashed   bool            // a worker that a task crashed returns under another ID
 
 	mu sync.Mutex
 }
 
 // NewWorkers returns an empty set of workers that draws faults from rnd.
 func NewWorkers(rnd *rand.Rand, r *Checker) *Workers {
-	return &Workers{Rnd: rnd, Checker: r, List: make(map[string]*Worker), FailingJobs: make(map[string]bool)}
+	return &Workers{Rnd: rnd, Checker: r, List: make(map[string]*Worker), FailingJobs: make(map[string]bool), DeadlyJobs: make(map[string]bool)}
 }
 
 // Add boots a worker and adds it to the set.
@@ -204,6 +209,9 @@
 			return &leader.RefusedError{Reason: leader.RefusedInvalid}
 		}
 		w.runs[o.Task] = &taskRun{task: o.Task, run: o.Run, startedAt: time.Now(), delayed: late}
+		if ws.DeadlyJobs[o.Task.Job] {
+			ws.crashByTask(w)
+		}
 		return nil
 	})
 }
@@ -368,15 +376,54 @@
 func (ws *Workers) Crash(id string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	w := ws.List[id]
-	if w == nil {
-		return
+	if w := ws.List[id]; w != nil {
+		ws.crash(w)
+	}
+}
+
+// crash is Crash under the lock.
+func (ws *Workers) crash(w *Worker) {
+	for task := range w.runs {
+		ws.Checker.crashes[task]++
 	}
 	w.Down = true
 	w.runs = make(map[leader.TaskID]*taskRun)
 	w.notify()
 }
 
+// crashByTask crashes a worker that has just started a deadly task, and lets it
+// return later. The caller holds the lock.
+func (ws *Workers) crashByTask(w *Worker) {
+	incarnation := w.incarnation
+	time.AfterFunc(deadlyDelay, func() {
+		ws.mu.Lock()
+		defer ws.mu.Unlock()
+		if w.Down || w.incarnation != incarnation {
+			return
+		}
+		ws.crash(w)
+		if ws.ReplaceCrashed {
+			delete(ws.List, w.ID)
+		}
+		time.AfterFunc(crashTime, func() { ws.returnCrashed(w) })
+	})
+}
+
+// returnCrashed boots a worker that a task crashed, under another ID if it was
+// replaced.
+func (ws *Workers) returnCrashed(w *Worker) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	switch {
+	case ws.List[w.ID] == w && w.Down:
+		ws.boot(w)
+	case ws.ReplaceCrashed && ws.List[w.ID] == nil:
+		w.ID += "'"
+		ws.boot(w)
+		ws.List[w.ID] = w
+	}
+}
+
 // Drain announces that the worker leaves, and removes it after the time.
 func (ws *Workers) Drain(id string, stays time.Duration) {
 	ws.WithLock(func() {
--- /dev/null
+++ b/internal/fleet/instance/deadly_test.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// Guards against a task that crashes worker after worker because nothing counts the crashes.
+func TestTaskThatCrashesWorkers(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     ledger.Step
+		replaced bool // crashed workers return under another ID
+		takeover bool // the leader is killed after the first crash
+	}{
+		{"task", ledger.Step{Count: 1, GPU: 1, Estimate: 1000}, false, false},
+		{"task, workers replaced", ledger.Step{Count: 1, GPU: 1, Estimate: 1000}, true, false},
+		{"task, takeover", ledger.Step{Count: 1, GPU: 1, Estimate: 1000}, false, true},
+		{"task, workers replaced, takeover", ledger.Step{Count: 1, GPU: 1, Estimate: 1000}, true, true},
+		{"gang", ledger.Step{Count: 4, GPU: 4, Estimate: 1000, Gang: true}, false, false},
+		{"gang, workers replaced, takeover", ledger.Step{Count: 4, GPU: 4, Estimate: 1000, Gang: true}, true, true},
+		{"task that lasts", ledger.Step{Count: 1, GPU: 1, Estimate: 1000, LongRunning: true}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var phases []ledger.Phase
+			r := runCluster(t, 1, 3, 8, func(c *cluster) {
+				c.workers.WithLock(func() { c.workers.DeadlyJobs["deadly"], c.workers.ReplaceCrashed = true, tt.replaced })
+				time.Sleep(8 * time.Second)
+				c.submit(c.nodes[0], job("sound", ledger.Step{Count: 12, GPU: 2, Estimate: 9000}))
+				c.submit(c.nodes[1], job("deadly", tt.step))
+				if tt.takeover {
+					time.Sleep(200 * time.Millisecond)
+					c.kill(c.leader())
+				}
+				time.Sleep(80 * time.Second)
+				for _, n := range c.nodes {
+					if !n.isDead() {
+						phases = append(phases, c.phase(n, "deadly"), c.phase(n, "sound"))
+					}
+				}
+			})
+			is.Equal(r.Violations, nil)
+			for i, phase := range phases {
+				is.Equal(phase, []ledger.Phase{ledger.JobFailed, ledger.Finished}[i%2])
+			}
+			is.True(len(phases) >= 4)
+		})
+	}
+}
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -50,6 +50,11 @@
 		l.mu.Unlock()
 		return true, 0
 	}
+	if n.incarnation != 0 && n.incarnation != w.incarnation {
+		l.stopRun(w, n, "worker restarted")
+		l.mu.Unlock()
+		return true, 0
+	}
 	if l.Policy.Evacuated(w.entry.Zone) {
 		l.stopRun(w, n, "failure domain evacuated")
 		l.mu.Unlock()
@@ -88,7 +93,7 @@
 		return true
 	case errors.As(err, &refused):
 		l.Logger.Info("worker refused start", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
-		l.startRefused(w, n, refused.Reason)
+		l.startRefused(w, n, refused.Reason, try)
 		return true
 	case l.ctx.Err() != nil:
 		return true
@@ -102,7 +107,7 @@
 // startRefused handles a refused start request. It ends the run, which
 // certainly did not start, unless the refusal says otherwise. The caller holds
 // l.mu.
-func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
+func (l *Leader) startRefused(w *worker, n *run, reason Refusal, try int) {
 	switch reason {
 	case RefusedStaleEpoch:
 		return // this leader learns of the newer epoch from the log
@@ -117,6 +122,11 @@
 	if n.endProposed {
 		return
 	}
+	if reason == RefusedIncarnation && try > 1 {
+		// The first attempt may have reached the earlier incarnation.
+		go l.Feed.Propose(l.Epoch, l.endLost(w, []*run{n}, lossRestarted, time.Now())...)
+		return
+	}
 	r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
 	go l.Feed.Propose(l.Epoch, r)
 }
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -62,6 +62,7 @@
 	worker      *worker
 	unit        ledger.UnitID
 	member      int
+	incarnation int64 // of the worker for which it was decided; 0 is unknown
 	startedAt   time.Time
 	startSent   bool      // the start request may have been sent
 	inherited   bool      // started by an earlier leader
@@ -128,7 +129,7 @@
 		index = member
 	}
 	task := TaskID{u.ID.Job, u.ID.Occurrence, u.ID.Step, index}
-	return &run{key: runKey{task, u.Run}, unit: u.ID, member: member, startedAt: time.Now()}
+	return &run{key: runKey{task, u.Run}, unit: u.ID, member: member, incarnation: u.Members[member].Incarnation, startedAt: time.Now()}
 }
 
 // addRun adds a run to its worker. The caller holds l.mu.
--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -8,6 +8,10 @@
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
+// crashProbation is how long a run of a crash suspect is watched: meanwhile other
+// work starts on its workers last, so that another crash hits little else.
+const crashProbation = 5 * time.Second
+
 // lossCause tells why runs on a worker are lost.
 type lossCause string
 
@@ -35,11 +39,73 @@
 // endLost marks lost runs of a worker as ending and returns the records of their
 // ends. The caller holds l.mu.
 func (l *Leader) endLost(w *worker, lost []*run, cause lossCause, now time.Time) []ledger.Record {
+	suspects := crashSuspects(w, lost, cause)
 	var records []ledger.Record
 	for _, n := range lost {
+		outcome := ledger.WorkerLost
+		if suspects[n] {
+			outcome = ledger.WorkerCrashed
+		}
 		l.Logger.Info("run lost", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member),
-			zap.String("cause", string(cause)), zap.Bool("reported", n.reported), zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
-		records = append(records, l.endRun(n, ledger.WorkerLost, n.checkpoint, now))
+			zap.String("cause", string(cause)), zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported),
+			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
+		records = append(records, l.endRun(n, outcome, n.checkpoint, now))
 	}
 	return records
 }
+
+// crashSuspects returns the lost runs that may have crashed their worker: those
+// that it never reported, because a task that crashes workers usually does so
+// when it starts, and all of them if it reported each.
+func crashSuspects(w *worker, lost []*run, cause lossCause) map[*run]bool {
+	started, unreported := make(map[*run]bool), make(map[*run]bool)
+	for _, n := range lost {
+		if !n.startSent && !n.inherited {
+			continue
+		}
+		started[n] = true
+		if !n.reported {
+			unreported[n] = true
+		}
+	}
+	switch {
+	case cause == lossUnreachable && !w.listed && !w.entry.Draining:
+		return unreported // it may only be cut off
+	case cause != lossVanished && cause != lossRestarted:
+		return nil
+	case len(unreported) > 0:
+		return unreported
+	}
+	return started
+}
+
+// crashSuspectHosts returns the workers on which a crash suspect was started
+// lately. The caller holds the feed's lock and l.mu.
+func (l *Leader) crashSuspectHosts(s *ledger.State, now time.Time) map[string]bool {
+	hosts := make(map[string]bool)
+	suspect := func(id ledger.UnitID) bool {
+		js := s.Jobs[id.Job]
+		if js == nil {
+			return false
+		}
+		u := js.Unit(id)
+		return u != nil && u.CrashSuspect()
+	}
+	for id, runs := range l.unitRuns {
+		if now.Sub(runs[0].startedAt) > crashProbation || !suspect(id) {
+			continue
+		}
+		for _, n := range runs {
+			hosts[n.worker.id] = true
+		}
+	}
+	for id, start := range l.proposedStarts {
+		if !suspect(id) {
+			continue
+		}
+		for _, worker := range start.Workers {
+			hosts[worker] = true
+		}
+	}
+	return hosts
+}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -129,7 +129,11 @@
 func (l *Leader) recordDecisions(out plan.Output, in plan.Input) {
 	for _, st := range out.Placements {
 		u := st.Unit
-		l.proposedStarts[u.ID] = ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers}
+		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: in.Now}
+		for _, id := range st.Workers {
+			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
+		}
+		l.proposedStarts[u.ID] = start
 		l.Logger.Info("start", zap.Stringer("unit", u.ID), zap.Int("run", u.Run), zap.Int("priority", u.Priority), zap.Bool("sure", u.Guaranteed),
 			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers))
 	}
@@ -165,11 +169,12 @@
 	}
 	l.addRunning(&in, s, free, guaranteed, now)
 	l.deductProposed(s, free)
+	watched := l.crashSuspectHosts(s, now)
 	for id, w := range l.workers {
 		if w.usable(now) && !l.Policy.Evacuated(w.entry.Zone) {
 			in.Workers = append(in.Workers, &plan.Worker{
 				ID: id, Service: w.entry.Service, Rack: w.entry.Rack, Labels: w.entry.Labels,
-				Total: w.entry.Total, Free: *free[id], Suspect: w.suspect(now),
+				Total: w.entry.Total, Free: *free[id], Suspect: w.suspect(now) || watched[id],
 			})
 		}
 	}
@@ -246,7 +251,7 @@
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
 			ReadySince: since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
-			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed,
+			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 		})
 	}
 }
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -200,19 +200,21 @@
 			records = append(records, l.recordEnd(w, t, now)...)
 		}
 	}
-	var lost []*run
+	var missing, crashed []*run
 	for _, n := range w.unendedRuns() {
 		// A report that was requested before the worker accepted the run may be
 		// older than the run, even if the worker has restarted in between.
-		if !present[n.key] && !n.acceptedAt.IsZero() && n.acceptedAt.Before(sent) {
-			lost = append(lost, n)
+		if present[n.key] || n.acceptedAt.IsZero() || !n.acceptedAt.Before(sent) {
+			continue
 		}
+		if restarted || n.incarnation != 0 && n.incarnation != rep.Incarnation {
+			crashed = append(crashed, n)
+			continue
+		}
+		missing = append(missing, n)
 	}
-	cause := lossMissing
-	if restarted {
-		cause = lossRestarted
-	}
-	records = append(records, l.endLost(w, lost, cause, now)...)
+	records = append(records, l.endLost(w, missing, lossMissing, now)...)
+	records = append(records, l.endLost(w, crashed, lossRestarted, now)...)
 	stops := w.updateOrphans(orphans, now)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -88,9 +88,13 @@
 	}
 	u.Run = r.Run
 	u.RunFailed = false
+	u.RunStartedAt = r.At
 	u.Members = make([]Member, len(r.Workers))
 	for i, w := range r.Workers {
 		u.Members[i].Worker = w
+		if i < len(r.Incarnations) {
+			u.Members[i].Incarnation = r.Incarnations[i]
+		}
 	}
 	js.Phase = Running
 	return true
@@ -121,6 +125,8 @@
 	case Failed:
 		u.RunFailed = true
 		u.FailedOn = append(u.FailedOn, m.Worker)
+	case WorkerCrashed:
+		u.countCrash(r.Member, r.At)
 	}
 	for _, m := range u.Members {
 		if !m.Ended && !u.Done {
@@ -145,6 +151,9 @@
 		u.Failures++
 	}
 	u.RunFailed = false
+	if r.Outcome == Done || r.At-u.RunStartedAt > crashBlameTime {
+		u.Crashes = nil
+	}
 	if u.Done {
 		s.UndoneUnits--
 		u.FailedOn = nil
@@ -156,7 +165,7 @@
 	case s.UndoneUnits == 0:
 		s.Phase = Finished
 		s.EndedAt = r.At
-	case !u.Done && !step.LongRunning && s.Job.Attempts > 0 && u.Failures >= s.Job.Attempts:
+	case !u.Done && !step.LongRunning && s.Job.Attempts > 0 && u.Failures >= s.Job.Attempts, u.crashesWorkers():
 		s.Phase = JobFailed
 		s.EndedAt = r.At
 	}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -86,7 +86,7 @@
 				runs[job]++
 				records = append(records, start(1, job, runs[job], "v", "w"), start(1, job, runs[job], "v"))
 			case 2, 3:
-				outcome := rapid.SampledFrom([]RunOutcome{Done, Failed, WorkerLost, Stopped}).Draw(t, "how")
+				outcome := rapid.SampledFrom([]RunOutcome{Done, Failed, WorkerLost, WorkerCrashed, Stopped}).Draw(t, "how")
 				records = append(records, end(1, job, runs[job], rapid.IntRange(0, 1).Draw(t, "member"), outcome))
 			case 4:
 				records = append(records, Record{Cancel: &Cancel{ID: job, At: 3}})
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -53,10 +53,12 @@
 
 // Start assigns a run of a unit to workers, one for each member of the run.
 type Start struct {
-	Epoch   uint64   `cbor:"1,keyasint"`
-	Unit    UnitID   `cbor:"2,keyasint"`
-	Run     int      `cbor:"3,keyasint"`
-	Workers []string `cbor:"4,keyasint"`
+	Epoch        uint64   `cbor:"1,keyasint"`
+	Unit         UnitID   `cbor:"2,keyasint"`
+	Run          int      `cbor:"3,keyasint"`
+	Workers      []string `cbor:"4,keyasint"`
+	Incarnations []int64  `cbor:"5,keyasint,omitempty"` // of the workers
+	At           int64    `cbor:"6,keyasint,omitempty"` // Unix ms
 }
 
 // RunOutcome is the outcome of the run of one task.
@@ -70,7 +72,8 @@
 	LeaseExpired   RunOutcome = "lapsed"  // the lease of the run expired
 	GangEnded      RunOutcome = "broken"  // another member of its gang ended first
 	GangIncomplete RunOutcome = "alone"   // other members of its gang did not start in time
-	WorkerLost     RunOutcome = "lost"    // its worker restarted, or was unreachable for longer than the lease
+	WorkerLost     RunOutcome = "lost"    // its worker left or restarted, or was unreachable for longer than the lease
+	WorkerCrashed  RunOutcome = "crashed" // its worker crashed, and the run may be the cause
 )
 
 // End records that one member of a run has ended.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -17,8 +17,9 @@
 
 // Member is one task of the current run of a unit.
 type Member struct {
-	Worker string `cbor:"1,keyasint"`
-	Ended  bool   `cbor:"2,keyasint,omitempty"`
+	Worker      string `cbor:"1,keyasint"`
+	Ended       bool   `cbor:"2,keyasint,omitempty"`
+	Incarnation int64  `cbor:"3,keyasint,omitempty"` // of the worker; 0 is unknown
 }
 
 // Unit is the state of a unit of scheduling: one task, or a whole gang, of one
@@ -34,6 +35,9 @@
 	RunEndedAt  int64      `cbor:"8,keyasint,omitempty"` // end of the last run, Unix ms
 	LastOutcome RunOutcome `cbor:"9,keyasint,omitempty"`
 	FailedOn    []string   `cbor:"10,keyasint,omitempty"` // workers on which a run failed
+
+	RunStartedAt int64 `cbor:"11,keyasint,omitempty"` // start of the newest run, Unix ms
+	Crashes      []int `cbor:"12,keyasint,omitempty"` // number of workers that crashed under each member, see countCrash
 }
 
 // Active reports whether the unit has a run that has not ended.
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -54,7 +54,7 @@
 	Labels  []string
 	Total   Resources
 	Free    Resources
-	Suspect bool // tasks of several jobs failed here recently; used last
+	Suspect bool // tasks of several jobs failed here recently, or it may crash soon; used last
 
 	running   []*RunningUnit // units that are not being stopped, in no order until byStopCost
 	sorted    bool           // running is in the order of byStopCost
@@ -95,6 +95,7 @@
 	EstimateMs   int64          // estimated run time
 	AvoidWorkers []string       // workers on which it failed
 	Guaranteed   bool           // within its account's guarantee
+	CrashSuspect bool           // a worker crashed under it lately, perhaps because of it
 }
 
 // RunningUnit is a unit with a run that has not ended.
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -218,6 +218,9 @@
 func (r *round) start(u *WaitingUnit, workers []string) {
 	for _, id := range workers {
 		r.workers[id].Free = r.workers[id].Free.Sub(u.Need)
+		if u.CrashSuspect {
+			r.workers[id].Suspect = true
+		}
 	}
 	if u.MaxPerWorker > 0 && u.RunningTasks != nil {
 		for _, id := range workers {
@@ -323,7 +326,8 @@
 
 // pack returns a worker for each task, or nil if not all tasks fit. It fills
 // the workers with the fewest free resources first (best fit), so that large
-// free blocks stay whole. Suspect workers come last.
+// free blocks stay whole. Suspect workers come last. A unit that may crash its
+// workers gets the emptiest ones instead.
 func (r *round) pack(u *WaitingUnit, workers []*Worker) []string {
 	fit := r.fit[:0]
 	defer func() { r.fit = fit }()
@@ -341,6 +345,9 @@
 		return nil
 	}
 	slices.SortStableFunc(fit, func(a, b *Worker) int {
+		if u.CrashSuspect {
+			return cmp.Or(compareBool(a.Suspect, b.Suspect), cmp.Compare(b.Free.GPU, a.Free.GPU), cmp.Compare(b.Free.CPU, a.Free.CPU))
+		}
 		return cmp.Or(
 			compareBool(a.Suspect, b.Suspect),
 			cmp.Compare(a.Free.GPU-u.Need.GPU, b.Free.GPU-u.Need.GPU),
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -259,3 +259,16 @@
 		})
 	}
 }
+
+// Guards against work that is placed beside a unit that may crash its worker.
+func TestCrashSuspectApart(t *testing.T) {
+	is := is.New(t)
+	ws := newWorkers(3)
+	ws[0].Free.GPU = 2
+	suspect, sound := unit("a", 1, 1, 1), unit("b", 1, 1, 6)
+	suspect.CrashSuspect = true
+	out := Decide(Input{Workers: ws, Waiting: []*WaitingUnit{suspect, sound}})
+	is.Equal(len(out.Placements), 2)
+	is.Equal(out.Placements[0].Workers, []string{"w1"})
+	is.Equal(out.Placements[1].Workers, []string{"w2"})
+}
