Tell a task that crashes workers from work beside it

Cause: after a crash its cause and the work beside it were placed together again, since both wait at the same moment, and a start request without an answer, or an inherited run, counted like a run that the worker had certainly started. Change: units under which a worker crashed lately are placed apart from each other for up to a second; the record says whether the run had certainly started, and a job is given up at three crashes of which two are certain, or at five. A worker stand-in no longer fails deadly tasks before they crash it.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -339,7 +339,8 @@
 	}
 	if r.runningSince.IsZero() && len(members) == size {
 		r.runningSince = now
-		if w.FailsRuns || ws.FailingJobs[r.task.Job] || ws.Rnd.Float64() < ws.FailureRate {
+		fails := w.FailsRuns || ws.FailingJobs[r.task.Job] || ws.Rnd.Float64() < ws.FailureRate
+		if fails && !ws.DeadlyJobs[r.task.Job] {
 			ws.end(w, r, ledger.Failed)
 			return
 		}
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -18,8 +18,8 @@
 
 // Guards against combinations of faults that break a promise to callers. The
 // test generates histories of a cluster from seeds. Each has kills, freezes,
-// network partitions, outages, lost and late answers, crashes, failing tasks and
-// cancellations. To check more histories by hand, run:
+// network partitions, outages, lost and late answers, crashes, failing tasks, tasks
+// that crash workers and cancellations. To check more histories by hand, run:
 //
 //	go test ./internal/fleet/instance -run TestHistories -histories 10000
 func TestHistories(t *testing.T) {
@@ -42,6 +42,7 @@
 		h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 4)), accepted: make(map[string]bool)}
 		time.Sleep(time.Duration(h.rnd.IntN(2000)) * time.Millisecond)
 		h.scheduleFaults()
+		h.drawDeadlyJob(rand.New(rand.NewPCG(seed, 5)))
 		h.load()
 		h.heal()
 		violations = h.checkEnd()
@@ -172,6 +173,20 @@
 	}
 }
 
+// drawDeadlyJob lets the tasks of one job crash their workers, in a quarter of the
+// histories.
+func (h *history) drawDeadlyJob(rnd *rand.Rand) {
+	if rnd.IntN(4) > 0 {
+		return
+	}
+	id := fmt.Sprintf("job%d", rnd.IntN(6))
+	h.c.workers.WithLock(func() {
+		h.c.workers.DeadlyJobs[id] = true
+		h.c.workers.ReplaceCrashed = rnd.IntN(2) == 0
+		h.c.rules.NoDisruption = false
+	})
+}
+
 // replace announces that a worker leaves and removes it after the notice. A
 // replacement is added 4 s after that.
 func (h *history) replace(id string, notice time.Duration) {
@@ -299,9 +314,15 @@
 	time.Sleep(8 * time.Second) // until the leases of unreachable runs have expired and stop requests are done
 	violations = append(violations, h.c.workers.PendingRuns()...)
 	for _, id := range ids {
-		if p := h.c.phase(h.c.nodes[0], id); p == ledger.Finished {
-			h.c.workers.WithLock(func() { violations = append(violations, h.c.rules.Unfinished(id)...) })
-		}
+		p := h.c.phase(h.c.nodes[0], id)
+		h.c.workers.WithLock(func() {
+			switch p {
+			case ledger.Finished:
+				violations = append(violations, h.c.rules.Unfinished(id)...)
+			case ledger.JobFailed:
+				violations = append(violations, h.c.rules.FailedWithoutCause(id)...)
+			}
+		})
 	}
 	return violations
 }
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -87,7 +87,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-		n.acceptedAt = time.Now()
+		n.accepted, n.acceptedAt = true, time.Now()
 		l.Logger.Debug("run started", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Int("try", try))
 		w.wakeSession()
 		return true
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -66,7 +66,8 @@
 	startedAt   time.Time
 	startSent   bool      // the start request may have been sent
 	inherited   bool      // started by an earlier leader
-	acceptedAt  time.Time // when the worker accepted the start; zero while unknown
+	accepted    bool      // the worker answered that it started the run
+	acceptedAt  time.Time // when the worker accepted the start, or refused it for good; zero while unknown
 	reported    bool      // the worker has reported it as running
 	checkpoint  string
 	progress    progressSample
--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -49,22 +49,23 @@
 		l.Logger.Info("run lost", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member),
 			zap.String("cause", string(cause)), zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported),
 			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
-		records = append(records, l.endRun(n, outcome, n.checkpoint, now))
+		r := l.endRun(n, outcome, n.checkpoint, now)
+		r.End.Ran = n.accepted || n.reported
+		records = append(records, r)
 	}
 	return records
 }
 
-// crashSuspects returns the lost runs that may have crashed their worker: those
-// that it never reported, because a task that crashes workers usually does so
-// when it starts, and all of them if it reported each.
+// crashSuspects returns the lost runs that may have crashed their worker. A task
+// that crashes workers usually does so when it starts, so runs that the worker
+// never reported are suspected before all others.
 func crashSuspects(w *worker, lost []*run, cause lossCause) map[*run]bool {
-	started, unreported := make(map[*run]bool), make(map[*run]bool)
+	reported, unreported := make(map[*run]bool), make(map[*run]bool)
 	for _, n := range lost {
-		if !n.startSent && !n.inherited {
-			continue
-		}
-		started[n] = true
-		if !n.reported {
+		switch {
+		case n.reported:
+			reported[n] = true
+		case n.startSent || n.inherited:
 			unreported[n] = true
 		}
 	}
@@ -76,7 +77,7 @@
 	case len(unreported) > 0:
 		return unreported
 	}
-	return started
+	return reported
 }
 
 // crashSuspectHosts returns the workers on which a crash suspect was started
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -174,7 +174,7 @@
 		if w.usable(now) && !l.Policy.Evacuated(w.entry.Zone) {
 			in.Workers = append(in.Workers, &plan.Worker{
 				ID: id, Service: w.entry.Service, Rack: w.entry.Rack, Labels: w.entry.Labels,
-				Total: w.entry.Total, Free: *free[id], Suspect: w.suspect(now) || watched[id],
+				Total: w.entry.Total, Free: *free[id], Suspect: w.suspect(now), Watched: watched[id],
 			})
 		}
 	}
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -126,7 +126,7 @@
 		u.RunFailed = true
 		u.FailedOn = append(u.FailedOn, m.Worker)
 	case WorkerCrashed:
-		u.countCrash(r.Member, r.At)
+		u.countCrash(r)
 	}
 	for _, m := range u.Members {
 		if !m.Ended && !u.Done {
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -13,6 +13,7 @@
 	type crash struct {
 		members  []RunOutcome // how the members end, in their order
 		duration int64        // of the run, ms
+		unsure   bool         // whether it had started is not known
 	}
 	crashed, lost, broken := WorkerCrashed, WorkerLost, GangEnded
 	tests := []struct {
@@ -21,16 +22,20 @@
 		runs []crash
 		want Phase
 	}{
-		{"twice", one, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}}, Running},
-		{"three times", one, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}}, JobFailed},
-		{"not in a row", one, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{lost}, 1}, {[]RunOutcome{crashed}, 1}, {[]RunOutcome{Stopped}, 1}, {[]RunOutcome{crashed}, 1}}, JobFailed},
-		{"workers lost otherwise", one, []crash{{[]RunOutcome{lost}, 1}, {[]RunOutcome{lost}, 1}, {[]RunOutcome{lost}, 1}}, Running},
-		{"a long run before the last crash", one, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}, {[]RunOutcome{lost}, long}, {[]RunOutcome{crashed}, 1}}, Running},
-		{"crashes after long runs", one, []crash{{[]RunOutcome{crashed}, long}, {[]RunOutcome{crashed}, long}, {[]RunOutcome{crashed}, long}}, Running},
-		{"task that lasts", Step{Count: 1, LongRunning: true}, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}}, JobFailed},
-		{"task that lasts ended well in between", Step{Count: 1, LongRunning: true}, []crash{{[]RunOutcome{crashed}, 1}, {[]RunOutcome{crashed}, 1}, {[]RunOutcome{Done}, 1}, {[]RunOutcome{crashed}, 1}}, Running},
-		{"another member each time", gang, []crash{{[]RunOutcome{crashed, broken}, 1}, {[]RunOutcome{broken, crashed}, 1}, {[]RunOutcome{crashed, broken}, 1}}, Running},
-		{"one member three times", gang, []crash{{[]RunOutcome{broken, crashed}, 1}, {[]RunOutcome{broken, crashed}, 1}, {[]RunOutcome{crashed, crashed}, 1}}, JobFailed},
+		{"twice", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, Running},
+		{"three times", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
+		{"three times, once surely", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
+		{"three times, twice surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
+		{"five times, never surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, JobFailed},
+		{"four times, never surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
+		{"not in a row", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{lost}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{Stopped}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
+		{"workers lost otherwise", one, []crash{{[]RunOutcome{lost}, 1, false}, {[]RunOutcome{lost}, 1, false}, {[]RunOutcome{lost}, 1, false}}, Running},
+		{"a long run before the last crash", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{lost}, long, false}, {[]RunOutcome{crashed}, 1, false}}, Running},
+		{"crashes after long runs", one, []crash{{[]RunOutcome{crashed}, long, false}, {[]RunOutcome{crashed}, long, false}, {[]RunOutcome{crashed}, long, false}}, Running},
+		{"task that lasts", Step{Count: 1, LongRunning: true}, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
+		{"task that lasts ended well in between", Step{Count: 1, LongRunning: true}, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{Done}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, Running},
+		{"another member each time", gang, []crash{{[]RunOutcome{crashed, broken}, 1, false}, {[]RunOutcome{broken, crashed}, 1, false}, {[]RunOutcome{crashed, broken}, 1, false}}, Running},
+		{"one member three times", gang, []crash{{[]RunOutcome{broken, crashed}, 1, false}, {[]RunOutcome{broken, crashed}, 1, false}, {[]RunOutcome{crashed, crashed}, 1, false}}, JobFailed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -44,7 +49,7 @@
 				is.True(s.Apply(Record{Start: &Start{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Workers: workers, At: now}}))
 				now += r.duration
 				for member, outcome := range r.members {
-					s.Apply(Record{End: &End{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Member: member, Outcome: outcome, At: now}})
+					s.Apply(Record{End: &End{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Member: member, Outcome: outcome, At: now, Ran: !r.unsure}})
 				}
 			}
 			is.Equal(s.Jobs["a"].Phase, tt.want)
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -36,8 +36,8 @@
 	LastOutcome RunOutcome `cbor:"9,keyasint,omitempty"`
 	FailedOn    []string   `cbor:"10,keyasint,omitempty"` // workers on which a run failed
 
-	RunStartedAt int64 `cbor:"11,keyasint,omitempty"` // start of the newest run, Unix ms
-	Crashes      []int `cbor:"12,keyasint,omitempty"` // number of workers that crashed under each member, see countCrash
+	RunStartedAt int64        `cbor:"11,keyasint,omitempty"` // start of the newest run, Unix ms
+	Crashes      []CrashCount `cbor:"12,keyasint,omitempty"` // by member, see countCrash
 }
 
 // Active reports whether the unit has a run that has not ended.
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -54,7 +54,8 @@
 	Labels  []string
 	Total   Resources
 	Free    Resources
-	Suspect bool // tasks of several jobs failed here recently, or it may crash soon; used last
+	Suspect bool // tasks of several jobs failed here recently; used last
+	Watched bool // a crash suspect has just started here; used last
 
 	running   []*RunningUnit // units that are not being stopped, in no order until byStopCost
 	sorted    bool           // running is in the order of byStopCost
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -21,6 +21,10 @@
 	// not failed.
 	avoidWorkersMs = 2000
 
+	// crashApartMs bounds how long a crash suspect waits for workers without
+	// another one. A second crash then tells which of them is the cause.
+	crashApartMs = 1000
+
 	// preemptWaitMs is how long a unit that is not of the most urgent priority
 	// waits before it preempts less urgent work.
 	preemptWaitMs = 1000
@@ -219,7 +223,7 @@
 	for _, id := range workers {
 		r.workers[id].Free = r.workers[id].Free.Sub(u.Need)
 		if u.CrashSuspect {
-			r.workers[id].Suspect = true
+			r.workers[id].Watched = true
 		}
 	}
 	if u.MaxPerWorker > 0 && u.RunningTasks != nil {
@@ -321,6 +325,9 @@
 
 // eligible reports whether the unit may run on the worker at all.
 func (r *round) eligible(u *WaitingUnit, w *Worker) bool {
+	if u.CrashSuspect && w.Watched && r.in.Now-u.ReadySince <= crashApartMs {
+		return false
+	}
 	return w.Service == u.Service && w.HasLabel(u.Label) && !slices.Contains(u.AvoidWorkers, w.ID)
 }
 
@@ -345,11 +352,12 @@
 		return nil
 	}
 	slices.SortStableFunc(fit, func(a, b *Worker) int {
+		lastResort := compareBool(a.Suspect || a.Watched, b.Suspect || b.Watched)
 		if u.CrashSuspect {
-			return cmp.Or(compareBool(a.Suspect, b.Suspect), cmp.Compare(b.Free.GPU, a.Free.GPU), cmp.Compare(b.Free.CPU, a.Free.CPU))
+			return cmp.Or(lastResort, cmp.Compare(b.Free.GPU, a.Free.GPU), cmp.Compare(b.Free.CPU, a.Free.CPU))
 		}
 		return cmp.Or(
-			compareBool(a.Suspect, b.Suspect),
+			lastResort,
 			cmp.Compare(a.Free.GPU-u.Need.GPU, b.Free.GPU-u.Need.GPU),
 			cmp.Compare(a.Free.CPU, b.Free.CPU),
 		)
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -260,15 +260,37 @@
 	}
 }
 
-// Guards against work that is placed beside a unit that may crash its worker.
+// Guards against work that is placed beside a unit that may crash its worker, and
+// against two such units on one worker, which leaves open which of them crashed it.
 func TestCrashSuspectApart(t *testing.T) {
-	is := is.New(t)
-	ws := newWorkers(3)
-	ws[0].Free.GPU = 2
-	suspect, sound := unit("a", 1, 1, 1), unit("b", 1, 1, 6)
-	suspect.CrashSuspect = true
-	out := Decide(Input{Workers: ws, Waiting: []*WaitingUnit{suspect, sound}})
-	is.Equal(len(out.Placements), 2)
-	is.Equal(out.Placements[0].Workers, []string{"w1"})
-	is.Equal(out.Placements[1].Workers, []string{"w2"})
+	tests := []struct {
+		name   string
+		second func(u *WaitingUnit)
+		change func(ws []*Worker)
+		want   []string // of the second unit; nil: waits
+	}{
+		{"other work elsewhere", func(u *WaitingUnit) { u.Need.GPU = 6 }, func([]*Worker) {}, []string{"w2"}},
+		{"other work beside it when nothing else is free", func(u *WaitingUnit) { u.Need.GPU = 6 }, func(ws []*Worker) { ws[2].Free.GPU = 0 }, []string{"w1"}},
+		{"another suspect elsewhere", func(u *WaitingUnit) { u.CrashSuspect = true }, func([]*Worker) {}, []string{"w2"}},
+		{"another suspect waits", func(u *WaitingUnit) { u.CrashSuspect, u.Need.GPU = true, 3 }, func(ws []*Worker) { ws[2].Free.GPU = 0 }, nil},
+		{"another suspect has waited", func(u *WaitingUnit) { u.CrashSuspect, u.Need.GPU, u.ReadySince = true, 3, -crashApartMs-1 }, func(ws []*Worker) { ws[2].Free.GPU = 0 }, []string{"w1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ws := newWorkers(3)
+			ws[0].Free.GPU = 2
+			tt.change(ws)
+			first, second := unit("a", 1, 1, 1), unit("b", 1, 1, 1)
+			first.CrashSuspect = true
+			tt.second(second)
+			out := Decide(Input{Workers: ws, Waiting: []*WaitingUnit{first, second}})
+			is.Equal(out.Placements[0].Workers, []string{"w1"})
+			if tt.want == nil {
+				is.Equal(len(out.Placements), 1)
+				return
+			}
+			is.Equal(out.Placements[1].Workers, tt.want)
+		})
+	}
 }
