Set OnLeading before the instances of TestOnLeading start

Cause: the test set the function after the instances had started, beside the goroutine that reads it; the race detector found it in one of 40 plays on, and in one run of all tests now. Change: runClusterWith prepares the whole instance, not only its settings, and the test sets the function there. Its checks are the same.

--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -38,7 +38,7 @@
 	rules          *fleettest.Checker
 	nodes          []*node
 	ctx            context.Context
-	changeSettings func(s *Settings) // called before the start of each incarnation
+	prepare        func(n *Instance) // called before the start of each incarnation
 	lines          *logLines
 	link           *slowLink // network link that all instances share; nil is unlimited
 	minSnapshotLag int       // see feed.Feed
@@ -113,17 +113,17 @@
 // runCluster runs f in a synctest bubble with a cluster of instances and
 // workers. It returns the rules, with the promises that were broken.
 func runCluster(t *testing.T, seed uint64, instances, workers int, f func(c *cluster)) *fleettest.Checker {
-	return runClusterWith(t, seed, instances, workers, func(*Settings) {}, f)
+	return runClusterWith(t, seed, instances, workers, func(*Instance) {}, f)
 }
 
-// runClusterWith is like runCluster and calls change on the settings of each
-// incarnation before its start.
-func runClusterWith(t *testing.T, seed uint64, instances, workers int, change func(s *Settings), f func(c *cluster)) *fleettest.Checker {
+// runClusterWith is like runCluster and calls prepare on each incarnation before
+// its start.
+func runClusterWith(t *testing.T, seed uint64, instances, workers int, prepare func(n *Instance), f func(c *cluster)) *fleettest.Checker {
 	r := fleettest.NewChecker()
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		ctx, cancel := context.WithCancel(context.Background())
-		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, changeSettings: change, lines: newLogLines(), minSnapshotLag: 2 << 10}
+		c := &cluster{t: t, rnd: rnd, log: fleettest.NewLog(rand.New(rand.NewPCG(seed, 2))), rules: r, ctx: ctx, prepare: prepare, lines: newLogLines(), minSnapshotLag: 2 << 10}
 		c.workers = fleettest.NewWorkers(rand.New(rand.NewPCG(seed, 3)), r)
 		for i := range workers {
 			c.workers.Add(&fleettest.Worker{
@@ -254,7 +254,7 @@
 		},
 	}
 	inst := n.current
-	c.changeSettings(&inst.Settings)
+	c.prepare(inst)
 	inst.Init()
 	inst.Feed.MinSnapshotLag = c.minSnapshotLag
 	inst.Policy.Set(config())
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -109,10 +109,10 @@
 // more.
 func TestSmallInstancesLeadLast(t *testing.T) {
 	is := is.New(t)
-	small := func(s *Settings) {
-		s.CPUs = 0.192
-		if s.Node == "e4" {
-			s.CPUs = 0.8
+	small := func(n *Instance) {
+		n.Settings.CPUs = 0.192
+		if n.Settings.Node == "e4" {
+			n.Settings.CPUs = 0.8
 		}
 	}
 	runClusterWith(t, 1, 5, 0, small, func(c *cluster) {
@@ -149,16 +149,16 @@
 // does.
 func TestOnLeading(t *testing.T) {
 	is := is.New(t)
-	runCluster(t, 1, 3, 0, func(c *cluster) {
-		var mu sync.Mutex
-		leading := make(map[string]bool)
-		for _, n := range c.nodes {
-			n.instance().OnLeading = func(on bool) {
-				mu.Lock()
-				defer mu.Unlock()
-				leading[n.name] = on
-			}
+	var mu sync.Mutex
+	leading := make(map[string]bool)
+	prepare := func(n *Instance) {
+		n.OnLeading = func(on bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			leading[n.Settings.Node] = on
 		}
+	}
+	runClusterWith(t, 1, 3, 0, prepare, func(c *cluster) {
 		time.Sleep(3 * time.Second)
 		first := c.leader()
 		first.instance().Feed.Yield(first.instance().Feed.Status().Epoch, time.Minute)
@@ -174,7 +174,7 @@
 // Guards against the loss of jobs whose submission has expired from the log.
 func TestExpiredLog(t *testing.T) {
 	is := is.New(t)
-	short := func(s *Settings) { s.Bounds.Retention = 10 * time.Second }
+	short := func(n *Instance) { n.Settings.Bounds.Retention = 10 * time.Second }
 	r := runClusterWith(t, 1, 3, 4, short, func(c *cluster) {
 		time.Sleep(2 * time.Second)
 		is.True(c.submit(c.nodes[0], job("long", ledger.Step{Count: 2, GPU: 1, Estimate: 60000})))
--- a/internal/fleet/instance/link_test.go
+++ b/internal/fleet/instance/link_test.go
@@ -51,7 +51,7 @@
 func TestNarrowLink(t *testing.T) {
 	is := is.New(t)
 	link := &slowLink{bytesPerSecond: 1_250_000, sent: make(map[leader.TaskID]int)}
-	settings := func(s *Settings) { s.LinkRate = link.bytesPerSecond }
+	settings := func(n *Instance) { n.Settings.LinkRate = link.bytesPerSecond }
 	runClusterWith(t, 1, 1, 80, settings, func(c *cluster) {
 		c.link = link
 		time.Sleep(3 * time.Second)
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -212,9 +212,9 @@
 // Followers with little processor time pause between their reads of the log.
 func TestFreshPhase(t *testing.T) {
 	is := is.New(t)
-	small := func(s *Settings) {
-		if s.Node != "e0" {
-			s.CPUs = 0.1
+	small := func(n *Instance) {
+		if n.Settings.Node != "e0" {
+			n.Settings.CPUs = 0.1
 		}
 	}
 	r := runClusterWith(t, 1, 4, 4, small, func(c *cluster) {
