--- a/internal/fleet/instance/deadly_test.go
+++ b/internal/fleet/instance/deadly_test.go
@@ -53,3 +53,27 @@
 		})
 	}
 }
+
+// Guards against starts on resources that a worker no longer has, and against resources that stay unused when they are back.
+func TestWorkerShrinksAndGrows(t *testing.T) {
+	is := is.New(t)
+	var beside, after ledger.Phase
+	r := runCluster(t, 1, 3, 1, func(c *cluster) {
+		setGPUs := func(n int64) {
+			c.workers.WithLock(func() { c.workers.List["w0"].Total.GPU = n })
+			time.Sleep(5 * time.Second) // until the leader has read the entry
+		}
+		time.Sleep(8 * time.Second)
+		c.submit(c.nodes[0], job("a", ledger.Step{Count: 1, GPU: 4, Estimate: 20000}))
+		time.Sleep(time.Second)
+		setGPUs(4)
+		c.submit(c.nodes[0], job("b", ledger.Step{Count: 1, GPU: 2, Estimate: 500}))
+		time.Sleep(5 * time.Second)
+		beside = c.phase(c.nodes[1], "b")
+		setGPUs(8)
+		after = c.phase(c.nodes[1], "b")
+	})
+	is.Equal(r.Violations, nil)
+	is.Equal(beside, ledger.Queued)
+	is.Equal(after, ledger.Finished)
+}
