Count a crash as prompt only right after the start of a run

Cause: a run that a worker had reported for seconds before it crashed counted as much against its task as one that the worker had just accepted, and so did one on a worker that may only be cut off. On a platform whose workers crash by themselves sound jobs would collect three of these far too soon. Change: two of the three crashes after which a job is given up must have come right after the worker accepted the run; at five it is given up in any case, so that after the third it is started twice more at most.

--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -50,7 +50,7 @@
 			zap.String("cause", string(cause)), zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported),
 			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
 		r := l.endRun(n, outcome, n.checkpoint, now)
-		r.End.Ran = n.accepted || n.reported
+		r.End.Prompt = cause != lossUnreachable && n.accepted && !n.reported
 		records = append(records, r)
 	}
 	return records
--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -2,13 +2,13 @@
 
 const (
 	// minCrashes is the number of workers that crash under a task before its job
-	// fails, if the task had certainly started on minCertainCrashes of them.
-	// Other tasks crash along with their worker as well, rarely so often in a row.
-	minCrashes        = 3
-	minCertainCrashes = 2
+	// fails, if minPromptCrashes of them did so right after they had accepted it.
+	// Other tasks crash along with their worker as well, rarely so often.
+	minCrashes       = 3
+	minPromptCrashes = 2
 
-	// maxCrashes is the number of workers that crash under a task, or may have
-	// crashed under it, before its job fails in any case.
+	// maxCrashes is the number of workers that crash, or may have crashed, under a
+	// task before its job fails in any case.
 	maxCrashes = 5
 
 	// crashBlameTime is the time in ms for which a task must have run to be
@@ -16,15 +16,15 @@
 	crashBlameTime = 10 * 60 * 1000
 )
 
-// CrashCount is the number of workers that crashed while they ran a task.
+// CrashCount is the number of workers that crashed, perhaps because of a task.
 type CrashCount struct {
-	Total   int `cbor:"1,keyasint,omitempty"`
-	Certain int `cbor:"2,keyasint,omitempty"` // of these, workers on which the task had certainly started
+	Total  int `cbor:"1,keyasint,omitempty"`
+	Prompt int `cbor:"2,keyasint,omitempty"` // of these, right after they had accepted the task
 }
 
 // excessive reports whether the task must not be started again.
 func (c CrashCount) excessive() bool {
-	return c.Total >= minCrashes && c.Certain >= minCertainCrashes || c.Total >= maxCrashes
+	return c.Total >= minCrashes && c.Prompt >= minPromptCrashes || c.Total >= maxCrashes
 }
 
 // countCrash counts a worker that crashed under a member of the current run.
@@ -37,8 +37,8 @@
 	}
 	c := &u.Crashes[r.Member]
 	c.Total++
-	if r.Ran {
-		c.Certain++
+	if r.Prompt {
+		c.Prompt++
 	}
 }
 
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -13,7 +13,7 @@
 	type crash struct {
 		members  []RunOutcome // how the members end, in their order
 		duration int64        // of the run, ms
-		unsure   bool         // whether it had started is not known
+		late     bool         // the crashes were not right after the start
 	}
 	crashed, lost, broken := WorkerCrashed, WorkerLost, GangEnded
 	tests := []struct {
@@ -24,10 +24,10 @@
 	}{
 		{"twice", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, Running},
 		{"three times", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
-		{"three times, once surely", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
-		{"three times, twice surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
-		{"five times, never surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, JobFailed},
-		{"four times, never surely", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
+		{"three times, once promptly", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
+		{"three times, twice promptly", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
+		{"five times, never promptly", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, JobFailed},
+		{"four times, never promptly", one, []crash{{[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}, {[]RunOutcome{crashed}, 1, true}}, Running},
 		{"not in a row", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{lost}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{Stopped}, 1, false}, {[]RunOutcome{crashed}, 1, false}}, JobFailed},
 		{"workers lost otherwise", one, []crash{{[]RunOutcome{lost}, 1, false}, {[]RunOutcome{lost}, 1, false}, {[]RunOutcome{lost}, 1, false}}, Running},
 		{"a long run before the last crash", one, []crash{{[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{crashed}, 1, false}, {[]RunOutcome{lost}, long, false}, {[]RunOutcome{crashed}, 1, false}}, Running},
@@ -49,7 +49,7 @@
 				is.True(s.Apply(Record{Start: &Start{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Workers: workers, At: now}}))
 				now += r.duration
 				for member, outcome := range r.members {
-					s.Apply(Record{End: &End{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Member: member, Outcome: outcome, At: now, Ran: !r.unsure}})
+					s.Apply(Record{End: &End{Epoch: 1, Unit: UnitID{Job: "a"}, Run: i + 1, Member: member, Outcome: outcome, At: now, Prompt: outcome == crashed && !r.late}})
 				}
 			}
 			is.Equal(s.Jobs["a"].Phase, tt.want)
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -85,7 +85,7 @@
 	Outcome    RunOutcome `cbor:"5,keyasint"`
 	Checkpoint string     `cbor:"6,keyasint,omitempty"` // newest checkpoint
 	At         int64      `cbor:"7,keyasint,omitempty"` // Unix ms
-	Ran        bool       `cbor:"8,keyasint,omitempty"` // if its worker crashed: the run had certainly started
+	Prompt     bool       `cbor:"8,keyasint,omitempty"` // if its worker crashed: right after it had accepted the run
 }
 
 // LeaderNotice is sent by the leader of an epoch. It is a heartbeat or a
