Log why a job failed

Cause: a job that failed for its attempts or for the workers that crashed under it left no line that names the unit and the counts, so on-call could not tell a given-up job from one that failed by itself. Change: the leader logs 'job failed' with the unit, how its last run ended, its failed runs and its crashes. Result: TestTaskThatCrashesWorkers shows the line in each case (3 crashes, 2 or 3 of them prompt).

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -284,11 +284,16 @@
 	if js == nil {
 		return
 	}
+	u := js.Unit(r.Unit)
 	if effective && js.Phase.Final() && js.Phase != ledger.Finished {
 		l.stopJob(js, string(js.Phase))
+		if js.Phase == ledger.JobFailed && u != nil {
+			l.Logger.Info("job failed", zap.String("job", js.Job.ID), zap.String("queue", js.Job.Queue), zap.Stringer("unit", r.Unit),
+				zap.String("how", string(r.Outcome)), zap.Int("failures", u.Failures), zap.Any("crashes", u.Crashes))
+		}
 		return
 	}
-	if u := js.Unit(r.Unit); u != nil && u.Active() && effective && r.Outcome != ledger.Done {
+	if u != nil && u.Active() && effective && r.Outcome != ledger.Done {
 		l.stopUnit(r.Unit, "gang broken")
 	}
 	if effective && js.Phase == ledger.Finished {
