Print log fields that the encoder cannot format

Cause: the encoder of log lines panics on a slice of structs, which the line 'job failed' has. The tests of the packages log through other encoders. The class of fault: one unexpected value takes a process down. Change: fields of any other type are printed to strings before they reach the encoder, so that no log line can end a process. Evidence: TestFieldOfAnyType panics on the old code and passes now.

--- a/internal/fleet/logline/logline.go
+++ b/internal/fleet/logline/logline.go
@@ -87,5 +87,39 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), w, zapcore.InfoLevel))
+	return zap.New(printingCore{zapcore.NewCore(zaplogfmt.NewEncoder(config), w, zapcore.InfoLevel)})
+}
+
+// printingCore prints the fields for which the encoder has no format of its own.
+// The encoder panics on some of them, such as slices of structs.
+type printingCore struct {
+	zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (c printingCore) With(fields []zapcore.Field) zapcore.Core {
+	return printingCore{c.Core.With(printReflected(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c printingCore) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+// Write implements zapcore.Core.
+func (c printingCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, printReflected(fields))
+}
+
+// printReflected replaces the fields that hold an arbitrary value by strings.
+func printReflected(fields []zapcore.Field) []zapcore.Field {
+	for i, f := range fields {
+		if f.Type == zapcore.ReflectType {
+			fields[i] = zap.String(f.Key, fmt.Sprint(f.Interface))
+		}
+	}
+	return fields
 }
--- a/internal/fleet/logline/logline_test.go
+++ b/internal/fleet/logline/logline_test.go
@@ -1,12 +1,15 @@
 package logline
 
 import (
+	"bytes"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // stalledWriter blocks every write until release is closed.
@@ -52,3 +55,31 @@
 	is.True(strings.Contains(out.text.String(), "log lines dropped"))
 	is.True(strings.Contains(out.text.String(), "msg=event"))
 }
+
+// Guards against a process that ends because the encoder panics on the type of a field.
+func TestFieldOfAnyType(t *testing.T) {
+	type count struct{ Total, Prompt int }
+	tests := []struct {
+		name  string
+		value any
+		want  string
+	}{
+		{"struct", count{3, 2}, `v="{3 2}"`},
+		{"slice of structs", []count{{3, 2}, {1, 0}}, `v="[{3 2} {1 0}]"`},
+		{"empty slice", []count(nil), `v=[]`},
+		{"map", map[string]int{"a": 1}, `v=map[a:1]`},
+		{"nil", nil, `v=<nil>`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			log := New(zapcore.AddSync(&out))
+			log.Info("event", zap.Any("v", tt.value))
+			log.With(zap.Any("v", tt.value)).Info("event")
+			for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+				is.True(strings.HasSuffix(line, tt.want))
+			}
+		})
+	}
+}
