--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -287,7 +287,7 @@
 	u := js.Unit(r.Unit)
 	if effective && js.Phase.Final() && js.Phase != ledger.Finished {
 		l.stopJob(js, string(js.Phase))
-		if js.Phase == ledger.JobFailed && u != nil {
+		if js.Phase == ledger.JobFailed && js.EndedAt == r.At && u != nil && !u.Done {
 			l.Logger.Info("job failed", zap.String("job", js.Job.ID), zap.String("queue", js.Job.Queue), zap.Stringer("unit", r.Unit),
 				zap.String("how", string(r.Outcome)), zap.Int("failures", u.Failures), zap.Any("crashes", u.Crashes))
 		}
