Limit the idle connections of a leader to its workers

Cause: a leader keeps up to eight idle connections to each of 1,100 workers, more than the 8,192 descriptors that a process has. The class of fault: a limit of the process that nothing keeps to. Change: idle connections to workers hold at most 0.6 of the descriptors that the settings name.

--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -43,6 +43,10 @@
 
 	maxMachineConns = 1 // to the platform's list of machines
 
+	// maxIdleShare is the share of the file descriptors that idle connections to
+	// workers may hold. The rest is for calls in progress and for callers.
+	maxIdleShare = 0.6
+
 	// logFlushTimeout bounds the wait for the last log lines at exit.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -91,13 +95,13 @@
 func newInstance(file *settingsFile, log *zap.Logger) *instance.Instance {
 	settings := file.current.Load()
 	storeRelay := &relay.Relay{
-		CallDirect: platform.CallDirect(platform.NewClient(maxStoreConns), func() string { return file.current.Load().StoreAddr }),
-		CallPeer:   platform.CallPeer(platform.NewClient(maxConnsPerPeer)),
+		CallDirect: platform.CallDirect(platform.NewClient(maxStoreConns, 0), func() string { return file.current.Load().StoreAddr }),
+		CallPeer:   platform.CallPeer(platform.NewClient(maxConnsPerPeer, 0)),
 		ProbeCall:  platform.ProbeCall(),
 		Logger:     log,
 	}
 	store := &platform.Store{Do: storeRelay.Do}
-	workers := &platform.Workers{Client: platform.NewClient(maxConnsPerWorker)}
+	workers := &platform.Workers{Client: platform.NewClient(maxConnsPerWorker, int(maxIdleShare*float64(settings.MaxFiles)))}
 	n := &instance.Instance{
 		Settings:     settings.Settings,
 		Logger:       log,
@@ -115,7 +119,7 @@
 		ReadyHandler: func(n *instance.Instance) http.Handler { return &platform.ReadyHandler{Check: n.CheckReady} },
 	}
 	if settings.MachinesAddr != "" {
-		machines := &platform.Machines{Client: platform.NewClient(maxMachineConns), Addr: func() string { return file.current.Load().MachinesAddr }}
+		machines := &platform.Machines{Client: platform.NewClient(maxMachineConns, 0), Addr: func() string { return file.current.Load().MachinesAddr }}
 		n.Machines = machines.List
 	}
 	n.PeerHandler = func(*instance.Instance) http.Handler { return &platform.RelayHandler{Relay: storeRelay} }
