Count the attempts of TestStartToRefusingWorker atomically

Cause: the goroutine of the leader that sends starts wrote the counter of attempts, and the test read it without synchronization.

Change: the counter is atomic. The bounds are unchanged.

--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +20,10 @@
 func TestStartToRefusingWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		attempts := 0
+		var attempts atomic.Int64
 		refused := &NoAnswerError{errors.New("connection refused")}
 		start := func(context.Context, Target, StartRequest) error {
-			attempts++
+			attempts.Add(1)
 			time.Sleep(time.Millisecond) // on the network
 			return refused
 		}
@@ -38,8 +39,8 @@
 		l.mu.Unlock()
 		go l.deliverStart(w, n, StartRequest{})
 		time.Sleep(startDeadline + time.Second)
-		is.True(attempts > 1)
-		is.True(attempts <= int(startDeadline/startRetryInterval)+2)
+		is.True(attempts.Load() > 1)
+		is.True(attempts.Load() <= int64(startDeadline/startRetryInterval)+2)
 		cancel()
 		time.Sleep(time.Second) // until the goroutines have ended
 	})
