Repeat a start request only to an incarnation that has reported since

What callers saw: nothing yet. A task that crashes its worker could crash several incarnations of it by one run, of which the budget counts one crash, if the worker is up again within the 2 s for which a start is tried; and a task whose start was not answered could run on two incarnations in turn. Cause: an attempt without an answer was repeated without knowing what had become of it. The leader compared incarnations, but learned of a new one only from the next report, which may come later than the next attempt. The class of fault: a retry that doesn't ask first what the attempt before has done. Change: after an attempt without an answer, the next one waits for a report that was requested later. If that names another incarnation, the start is given up; if it shows the run, the start is settled. Evidence: TestStartOnNextIncarnation failed on the old code, where one run was started by incarnations 1 to 22, and passes 20 times with -race.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -73,6 +73,14 @@
 		l.mu.Unlock()
 		return false, syncRetryDelay
 	}
+	if w.reportSentAt.Before(n.unansweredAt) {
+		// An attempt may have reached an incarnation that has crashed since.
+		l.mu.Unlock()
+		if !l.requestReport(w) {
+			pause = startRetryInterval
+		}
+		return false, pause
+	}
 	t := l.target(w)
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 	n.startSent = true
@@ -107,6 +115,7 @@
 	case l.ctx.Err() != nil:
 		return true
 	}
+	n.unansweredAt = time.Now()
 	if try == 1 {
 		l.Logger.Info("start request not answered; trying again", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Error(err))
 	}
@@ -209,9 +218,9 @@
 	return true
 }
 
-// requestReport requests a report at once. It does so beside the session,
-// whose sync may wait for a run to end.
-func (l *Leader) requestReport(w *worker) {
+// requestReport requests a report at once and reports whether the worker answered.
+// It does so beside the session, whose sync may wait for a run to end.
+func (l *Leader) requestReport(w *worker) bool {
 	l.mu.Lock()
 	t := l.target(w)
 	ack := w.safeAck(time.Now())
@@ -222,9 +231,10 @@
 	rep, err := l.Client.Sync(ctx, t, SyncRequest{Ack: ack})
 	if err != nil {
 		w.wakeSession() // the session syncs again
-		return
+		return false
 	}
 	l.applyReport(w, rep, sent, ack)
+	return true
 }
 
 // stopOrphan sends one stop request for a run that the state does not have.
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,32 +16,95 @@
 	"jasminelane.example/lane/internal/fleet/policy"
 )
 
+// startTest is a leader with one worker, on which a run is to be started.
+type startTest struct {
+	leader *Leader
+	worker *worker
+	run    *run
+	cancel context.CancelFunc
+}
+
+// newStartTest returns a leader that has contacted incarnation 1 of its worker. No
+// stop request is answered.
+func newStartTest(t *testing.T, client WorkerClient) *startTest {
+	client.Stop = func(context.Context, Target, StopRequest) error { return errRefusedConn }
+	l := &Leader{Epoch: 1, Feed: &feed.Feed{}, Policy: &policy.Current{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}, Client: client}
+	ctx, cancel := context.WithCancel(t.Context())
+	l.Init(ctx, ledger.NewState(), nil)
+	w := newWorker("w0", time.Now())
+	w.entry.Addr, w.contacted, w.incarnation = "w0", true, 1
+	n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, incarnation: 1, startedAt: time.Now()}
+	l.mu.Lock()
+	l.addRun(w, n)
+	l.mu.Unlock()
+	return &startTest{l, w, n, cancel}
+}
+
+// deliver delivers the start request and waits until it is settled.
+func (s *startTest) deliver() {
+	s.leader.deliverStart(s.worker, s.run, StartRequest{})
+	s.cancel()
+	synctest.Wait()
+}
+
+var errRefusedConn = &NoAnswerError{errors.New("connection refused")}
+
 // Guards against start requests in an endless loop to a worker that refuses connections.
 func TestStartToRefusingWorker(t *testing.T) {
+	tests := []struct {
+		name    string
+		reports bool // the worker answers syncs
+	}{
+		{"refuses starts", true},
+		{"refuses all", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				starts, reports := 0, 0
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						starts++
+						time.Sleep(time.Millisecond) // on the network
+						return errRefusedConn
+					},
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) {
+						reports++
+						time.Sleep(time.Millisecond) // on the network
+						if !tt.reports {
+							return Report{}, errRefusedConn
+						}
+						return Report{Incarnation: 1}, nil
+					},
+				})
+				s.deliver()
+				is.True(starts+reports > 2)
+				is.Equal(starts > 1, tt.reports)
+				is.True(starts <= int(startDeadline/startRetryInterval)+2)
+				is.True(reports <= int(startDeadline/startRetryInterval)+2)
+			})
+		})
+	}
+}
+
+// Guards against one start request that is carried out by two incarnations of a worker.
+func TestStartOnNextIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var attempts atomic.Int64
-		refused := &NoAnswerError{errors.New("connection refused")}
-		start := func(context.Context, Target, StartRequest) error {
-			attempts.Add(1)
-			time.Sleep(time.Millisecond) // on the network
-			return refused
-		}
-		stop := func(context.Context, Target, StopRequest) error { return refused }
-		l := &Leader{Epoch: 1, Feed: &feed.Feed{}, Policy: &policy.Current{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}, Client: WorkerClient{Start: start, Stop: stop}}
-		ctx, cancel := context.WithCancel(t.Context())
-		l.Init(ctx, ledger.NewState(), nil)
-		w := newWorker("w0", time.Now())
-		w.entry.Addr, w.contacted = "w0", true
-		n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, startedAt: time.Now()}
-		l.mu.Lock()
-		l.addRun(w, n)
-		l.mu.Unlock()
-		go l.deliverStart(w, n, StartRequest{})
-		time.Sleep(startDeadline + time.Second)
-		is.True(attempts.Load() > 1)
-		is.True(attempts.Load() <= int64(startDeadline/startRetryInterval)+2)
-		cancel()
-		time.Sleep(time.Second) // until the goroutines have ended
+		incarnation := int64(1)
+		var startedOn []int64
+		s := newStartTest(t, WorkerClient{
+			Start: func(context.Context, Target, StartRequest) error {
+				startedOn = append(startedOn, incarnation)
+				incarnation++ // the task crashes the worker
+				return &NoAnswerError{io.EOF}
+			},
+			Sync: func(context.Context, Target, SyncRequest) (Report, error) {
+				return Report{Incarnation: incarnation}, nil
+			},
+		})
+		s.deliver()
+		is.Equal(startedOn, []int64{1})
 	})
 }
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -58,21 +58,22 @@
 
 // run is the leader's view of a run that is, or may be, on a worker.
 type run struct {
-	key         runKey
-	worker      *worker
-	unit        ledger.UnitID
-	member      int
-	incarnation int64 // of the worker for which it was decided; 0 is unknown
-	startedAt   time.Time
-	startSent   bool      // the start request may have been sent
-	inherited   bool      // started by an earlier leader
-	accepted    bool      // the worker answered that it started the run
-	acceptedAt  time.Time // when the worker accepted the start, or refused it for good; zero while unknown
-	reported    bool      // the worker has reported it as running
-	checkpoint  string
-	progress    progressSample
-	stopping    bool
-	endProposed bool // a record of its end has been proposed
+	key          runKey
+	worker       *worker
+	unit         ledger.UnitID
+	member       int
+	incarnation  int64 // of the worker for which it was decided; 0 is unknown
+	startedAt    time.Time
+	startSent    bool      // the start request may have been sent
+	unansweredAt time.Time // end of the newest attempt to start it that had no answer
+	inherited    bool      // started by an earlier leader
+	accepted     bool      // the worker answered that it started the run
+	acceptedAt   time.Time // when the worker accepted the start, or refused it for good; zero while unknown
+	reported     bool      // the worker has reported it as running
+	checkpoint   string
+	progress     progressSample
+	stopping     bool
+	endProposed  bool // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -180,6 +180,9 @@
 	}
 	w.unresponsive = false
 	w.clockMs, w.clockAt, w.lastAnswer = rep.ClockMs, now, now
+	if sent.After(w.reportSentAt) {
+		w.reportSentAt = sent
+	}
 	w.dropAcknowledged(acked)
 	present := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
 	orphans := make(map[runKey]bool)
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -56,6 +56,7 @@
 	clockMs      int64 // reading of the worker's clock at clockAt
 	clockAt      time.Time
 	lastAnswer   time.Time // when the last sync was answered
+	reportSentAt time.Time // when the newest of its reports was requested
 	leasesEnd    time.Time // when all leases that were requested have certainly ended
 	unhealthyAt  time.Time // when it last refused a start as unhealthy or as another incarnation
 	slowAt       time.Time // when a run on it was last found slow
