Remove four definitions that nothing uses

Cause: the limit maxUnitMigrations, the index's tier of evictable accelerators outside blocks, the field SyncAnswer.Full and the bound StopGrace of a leader were never read; the tier cost a mask for each worker. Change: they are gone. Settings files with stopGraceMs are read as before. Result: go vet and the tests of placement, worker, leader and instance pass, and those of the platform's settings.

--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -178,7 +178,7 @@
 		log = zap.Must(zap.NewDevelopment()).Named(n.name)
 	}
 	n.current = &Instance{
-		Settings: Settings{Node: n.name, Bounds: leader.Bounds{Lease: fleettest.MaxLease, StopGrace: fleettest.StopGrace, Retention: 5 * time.Minute}},
+		Settings: Settings{Node: n.name, Bounds: leader.Bounds{Lease: fleettest.MaxLease, Retention: 5 * time.Minute}},
 		Logger:   log,
 		Append: func(ctx context.Context, b feed.Batch) (uint64, error) {
 			if err := gate(ctx); err != nil {
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -46,7 +46,6 @@
 // Bounds holds the time limits of the deployment.
 type Bounds struct {
 	Lease     time.Duration // duration of a full lease
-	StopGrace time.Duration // longest time that stopping a run takes
 	Retention time.Duration // how long the log keeps a record
 }
 
--- a/placement/defragment.go
+++ b/placement/defragment.go
@@ -12,7 +12,6 @@
 // Bounds of Defragment.
 const (
 	maxMigrations        = 8          // jobs that one call stops
-	maxUnitMigrations    = 8          // jobs that are stopped to free one unit
 	migrationMinRunMs    = 2 * 60_000 // a job runs at least this long before it may be moved (again)
 	migrationSizeDivisor = 4          // a moved job has at most 1/4 of the target's accelerators; a larger one may wait long for new ones
 )
--- a/placement/index.go
+++ b/placement/index.go
@@ -10,9 +10,8 @@
 // Tiers of accelerators. An Index has a mask per worker and fit tables for
 // each tier.
 const (
-	tierUnreserved          = iota // free and outside blocks
-	tierFree                       // free, in lent blocks or outside
-	tierUnreservedEvictable        // outside blocks, free or held by work that can be stopped
+	tierUnreserved = iota // free and outside blocks
+	tierFree              // free, in lent blocks or outside
 	tierCount
 )
 
@@ -145,7 +144,7 @@
 	var counts Counts
 	n.reclaimable = reclaimable(w)
 	free := w.Free() &^ n.held
-	n.masks = [tierCount]shape.Mask{free &^ w.Reserved(), free, n.reclaimable &^ n.held &^ w.Reserved()}
+	n.masks = [tierCount]shape.Mask{free &^ w.Reserved(), free}
 	if w.Ready() {
 		counts = Counts{w.GPUs, free.Count(), w.Reserved().Count(), (n.reclaimable &^ w.Free()).Count()}
 	}
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -78,7 +78,6 @@
 	Tasks       []Status `json:"tasks,omitempty"`
 	Digest      uint64   `json:"sum,omitempty"` // of the tasks' phases; opaque to the sender
 	Unchanged   bool     `json:"same,omitempty"`
-	Full        bool     `json:"-"` // asks for the tasks even if their phases are known
 }
 
 // Status is the state of one grant on its worker.
