Report a call that a peer may have made as uncertain

Cause: the store was slow and turned an instance away, so the instance sent the append through a peer. The peer's call timed out, and its outcome was unknown. Relay.Do then returned the store's refusal of the direct call without an error, so the append counted as certainly not stored. The class of fault: the outcome of one attempt is reported for another. Change: if the peer may have made the call, its error is returned, so that the outcome counts as unknown and is looked up in the log. Evidence: TestDo had a row that expected the refusal after a peer's reset. That was wrong: a reset does not tell what the store did. The row now expects the error and fails on the old code (503 != 0); new rows cover a peer that was not reached, or turned away as well, after which the refusal is certain.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -88,10 +88,14 @@
 			return rep, sent, err
 		}
 		relayed, peerSent, peerErr := r.callThroughPeer(ctx, c)
-		if peerErr != nil {
-			return rep, sent || peerSent, err
+		switch {
+		case peerErr == nil:
+			return relayed, true, nil
+		case err == nil && peerSent:
+			// The store turned this instance away, but the peer may have made the call.
+			return Reply{}, true, peerErr
 		}
-		return relayed, true, nil
+		return rep, sent || peerSent, err
 	}
 	return r.callThroughPeer(ctx, c)
 }
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -19,27 +19,29 @@
 func TestDo(t *testing.T) {
 	ok, busy := Reply{Status: http.StatusOK}, Reply{Status: http.StatusServiceUnavailable}
 	tests := []struct {
-		name             string
-		direct, peer     Reply
-		directErr        error
-		peerErr          error
-		directSent, sent bool
-		want             Reply
-		err              error
+		name                 string
+		direct, peer         Reply
+		directErr, peerErr   error
+		directSent, peerSent bool
+		want                 Reply
+		sent                 bool
+		err                  error
 	}{
-		{"direct", ok, busy, nil, nil, true, true, ok, nil},
-		{"turned away", busy, ok, nil, nil, true, true, ok, nil},
-		{"reset, peer helps", Reply{}, ok, errReset, nil, true, true, ok, nil},
-		{"not sent, peer turned away too", Reply{}, busy, errReset, nil, false, false, Reply{}, errReset},
-		{"not sent, peer did not answer", Reply{}, Reply{}, errReset, errReset, false, true, Reply{}, errReset},
-		{"turned away, no peer helps", busy, Reply{}, nil, errReset, true, true, busy, nil},
+		{"direct", ok, busy, nil, nil, true, true, ok, true, nil},
+		{"turned away", busy, ok, nil, nil, true, true, ok, true, nil},
+		{"reset, peer helps", Reply{}, ok, errReset, nil, true, true, ok, true, nil},
+		{"not sent, peer turned away too", Reply{}, busy, errReset, nil, false, true, Reply{}, false, errReset},
+		{"not sent, peer did not answer", Reply{}, Reply{}, errReset, errReset, false, true, Reply{}, true, errReset},
+		{"turned away, peer turned away too", busy, busy, nil, nil, true, true, busy, true, nil},
+		{"turned away, peer not reached", busy, Reply{}, nil, errReset, true, false, busy, true, nil},
+		{"turned away, peer did not answer", busy, Reply{}, nil, errReset, true, true, Reply{}, true, errReset},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := &Relay{
 				CallDirect: func(context.Context, Call) (Reply, bool, error) { return tt.direct, tt.directSent, tt.directErr },
-				CallPeer:   func(context.Context, string, Call) (Reply, bool, error) { return tt.peer, true, tt.peerErr },
+				CallPeer:   func(context.Context, string, Call) (Reply, bool, error) { return tt.peer, tt.peerSent, tt.peerErr },
 				PeerAddrs:  func() []string { return []string{"p"} },
 				Logger:     zap.NewNop(),
 			}
