Show that a refused retry starts a task twice

A start order that gets no answer may still be carried out. When its retry is refused with 503, the leader takes the run for lost and starts the task elsewhere.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,317 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// sheet returns a job of one step.
+func sheet(count, gpu int, estimate time.Duration, label string) job {
+	return job{Spec: "sheet", Steps: []step{{Count: count, CPU: 1000 * max(gpu, 1), MemMb: 1024, GPU: gpu, EstimateMs: estimate.Milliseconds(), Constraints: label}}}
+}
+
+func jobID(n int) string { return fmt.Sprintf("5c0e7a21d94b%04x", n) }
+
+// lateOrder leaves one of the first orders without an answer and carries it out
+// 2.5 s later. Between the two the executor refuses one order as unhealthy.
+func lateOrder(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 7, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const lateAfter = 2500 * time.Millisecond
+	var mu sync.Mutex
+	starts := 0
+	lateTask, refused := "", false
+	f.executors.fault = func(_ *executor, call, task string, _ int) (orderVerdict, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !trouble || call != "start" {
+			return obey, 0
+		}
+		starts++
+		switch {
+		case starts == 20:
+			lateTask = task
+			return carryLate, lateAfter
+		case task == lateTask && !refused:
+			refused = true
+			return busy, 0
+		}
+		return obey, 0
+	}
+	for i := range 30 {
+		if !f.submit(i, jobID(i), sheet(1, 1, 8*time.Second, ""), 8*time.Second) {
+			return result{}, errUnready
+		}
+	}
+	time.Sleep(14 * time.Second)
+	if trouble && !refused {
+		return result{}, fmt.Errorf("the late order was not tried again")
+	}
+	return result{f.executors.twice()}, nil
+}
+
+// refusedStop lets one of seven executors refuse two in five of its requests as
+// unhealthy for 5 s, while a job that runs there is cancelled.
+func refusedStop(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 7, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const (
+		unhealthyTime = 5 * time.Second
+		contact       = 3 * time.Second
+		cancelBound   = 3 * time.Second
+		margin        = 2 * time.Second
+	)
+	var mu sync.Mutex
+	var sick *executor
+	var until time.Time
+	requests := 0
+	f.executors.fault = func(e *executor, _, _ string, _ int) (orderVerdict, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if e != sick || time.Now().After(until) {
+			return obey, 0
+		}
+		requests++
+		if 2*requests%5 < 2 {
+			return busy, 0
+		}
+		return obey, 0
+	}
+	// One job fills the executors with tasks of 40 s, 56 of them.
+	id := jobID(1)
+	if !f.submit(0, id, sheet(56, 1, 40*time.Second, ""), 40*time.Second) {
+		return result{}, errUnready
+	}
+	time.Sleep(3 * time.Second)
+	if n := len(f.executors.runsOf(id)); n != 56 {
+		return result{}, fmt.Errorf("%d of 56 tasks have begun", n)
+	}
+	mu.Lock()
+	until = time.Now().Add(unhealthyTime)
+	if trouble {
+		sick = f.executors.list[3]
+		rec.add("%s refuses two in five of its requests from now on for %v", sick.id, unhealthyTime)
+	}
+	mu.Unlock()
+	if status, _ := f.call(f.machines[1], http.MethodDelete, id, nil); status/100 != 2 {
+		return result{}, fmt.Errorf("cancel was answered %d", status)
+	}
+	// From the end of the disruption a calm stretch begins contactMs later.
+	time.Sleep(unhealthyTime + contact + cancelBound + stopGrace + margin)
+	for _, r := range f.executors.runsOf(id) {
+		if r.ended.IsZero() {
+			return result{fmt.Sprintf("UNASKED: run %d of %s on %s still runs %.1f s after its job's cancelling was acknowledged and %.1f s after the disruption",
+				r.number, r.task, r.executor, (unhealthyTime + contact + cancelBound + stopGrace + margin).Seconds(), (contact + cancelBound + stopGrace + margin).Seconds())}, nil
+		}
+	}
+	return result{}, nil
+}
+
+// crashes lets the one executor with a label, one of eight, crash five times, 3 s
+// each, while a job and a job that lasts need it.
+func crashes(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 8, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const (
+		crashCount = 5
+		downTime   = 3 * time.Second
+		upTime     = 5 * time.Second
+	)
+	label := "r1-3"
+	plain, lasting := jobID(1), jobID(2)
+	if !f.submit(0, plain, sheet(1, 2, 10*time.Second, label), 10*time.Second) {
+		return result{}, errUnready
+	}
+	j := sheet(1, 2, 10*time.Second, label)
+	j.LongRunning = true
+	if !f.submit(1, lasting, j, 0) {
+		return result{}, errUnready
+	}
+	for i := range 10 {
+		if !f.submit(i, jobID(10+i), sheet(1, 1, 8*time.Second, ""), 8*time.Second) {
+			return result{}, errUnready
+		}
+	}
+	e := f.executors.list[3]
+	for range crashCount {
+		time.Sleep(upTime)
+		if trouble {
+			e.crash()
+		}
+		time.Sleep(downTime)
+		if trouble {
+			if err := e.boot(); err != nil {
+				return result{}, err
+			}
+		}
+	}
+	time.Sleep(16 * time.Second)
+	var broken []string
+	for _, id := range []string{plain, lasting} {
+		status, state := f.state(f.machines[2], id)
+		failed := 0
+		for _, r := range f.executors.runsOf(id) {
+			if r.how == "failed" {
+				failed++
+			}
+		}
+		if status == http.StatusGone || state == "failed" || state == "cancelled" {
+			broken = append(broken, fmt.Sprintf("job %s is shown as %q (status %d), and %d of its %d runs ended failed", id, state, status, failed, len(f.executors.runsOf(id))))
+		}
+	}
+	if len(broken) > 0 {
+		return result{"LOST: " + strings.Join(broken, "; ")}, nil
+	}
+	return result{}, nil
+}
+
+// history accepts more jobs than the leader can write again within the store's
+// retention time, lets the log be quiet, and kills all processes at once.
+func history(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 7, 20)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const (
+		jobs    = 900
+		clients = 4
+		rate    = 24 // jobs a second
+	)
+	var wait sync.WaitGroup
+	accepted := make([]bool, jobs)
+	first := time.Now().Add(10 * time.Minute).UnixMilli()
+	began := time.Now()
+	for c := range clients {
+		wait.Go(func() {
+			for i := c; i < jobs; i += clients {
+				time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / rate)))
+				j := sheet(1, 1, 8*time.Second, "")
+				j.Spec = strings.Repeat("x", 150)
+				j.Times, j.FirstMs, j.PeriodMs = 1, first, 1000
+				accepted[i] = f.submit(i, jobID(i), j, 8*time.Second)
+			}
+		})
+	}
+	wait.Wait()
+	time.Sleep(30 * time.Second)
+	if trouble {
+		for _, m := range f.machines {
+			f.kill(m)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, m := range f.machines {
+			if err := f.startProcess(m); err != nil {
+				return result{}, err
+			}
+		}
+		if err := f.awaitReady(f.machines...); err != nil {
+			return result{}, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	var lost []string
+	for i := range jobs {
+		if !accepted[i] {
+			continue
+		}
+		if status, _ := f.call(f.machines[i%3], http.MethodGet, jobID(i), nil); status == http.StatusGone {
+			lost = append(lost, jobID(i))
+		}
+	}
+	if len(lost) > 0 {
+		return result{fmt.Sprintf("LOST: %d of %d accepted jobs are answered 410, the first is %s", len(lost), jobs, lost[0])}, nil
+	}
+	return result{}, nil
+}
+
+// pending hands in jobs while one of ten executors hangs, and asks how many have
+// not begun.
+func pending(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 10, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const hangTime = 5500 * time.Millisecond
+	// All executors but one are full.
+	for i, e := range f.executors.list[1:] {
+		if !f.submit(i, jobID(i), sheet(1, 8, 60*time.Second, e.labels[1]), 60*time.Second) {
+			return result{}, errUnready
+		}
+	}
+	time.Sleep(2 * time.Second)
+	var mu sync.Mutex
+	var sick *executor
+	f.executors.fault = func(e *executor, _, _ string, _ int) (orderVerdict, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if e == sick {
+			return hang, 0
+		}
+		return obey, 0
+	}
+	if trouble {
+		mu.Lock()
+		sick = f.executors.list[0]
+		mu.Unlock()
+		rec.add("%s hangs from now on for %v", f.executors.list[0].id, hangTime)
+	}
+	began := time.Now()
+	var ids []string
+	for i := range 8 {
+		ids = append(ids, jobID(100+i))
+		if !f.submit(i, ids[i], sheet(1, 1, 8*time.Second, ""), 8*time.Second) {
+			return result{}, errUnready
+		}
+	}
+	accepted := time.Now()
+	time.Sleep(time.Until(accepted.Add(5050 * time.Millisecond)))
+	waiting := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return len(f.executors.runsOf(id)) > 0 })
+	var broken []string
+	for _, m := range f.machines {
+		status, body := f.call(m, http.MethodGet, "", nil)
+		var n int
+		if _, err := fmt.Sscanf(body, `{"pending":%d}`, &n); status != http.StatusOK || err != nil {
+			return result{}, fmt.Errorf("pending was answered %d %s", status, body)
+		}
+		if 2*n < len(waiting) {
+			broken = append(broken, fmt.Sprintf("%s gives %d as pending", m.name, n))
+		}
+	}
+	rec.add("%d of %d jobs have not begun, %.3f s after the hang began", len(waiting), len(ids), time.Since(began).Seconds())
+	time.Sleep(time.Until(began.Add(hangTime)))
+	mu.Lock()
+	sick = nil
+	mu.Unlock()
+	time.Sleep(15 * time.Second)
+	if len(broken) > 0 {
+		return result{fmt.Sprintf("MIXED: %d jobs that were accepted over 5 s before have not begun; %s", len(waiting), strings.Join(broken, ", "))}, nil
+	}
+	return result{}, nil
+}
--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,76 @@
+//go:build review
+
+// Command standin plays one case of the review: it starts the project's own
+// processes, stand-ins of the platform, executors and clients, and checks one rule
+// of the users. It exits with status 1 if the rule was broken, 0 if it held and 2
+// if the case could not run.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+)
+
+// maxTime bounds the duration of a case.
+const maxTime = 115 * time.Second
+
+// result is the verdict of a case: how the rule was broken, empty if it held.
+type result struct {
+	broken string
+}
+
+// cases holds the function of each case. trouble is false for the same play
+// without the disruption.
+var cases = map[string]func(rec *recorder, trouble bool) (result, error){
+	"late-order":   lateOrder,
+	"refused-stop": refusedStop,
+	"crashes":      crashes,
+	"history":      history,
+	"pending":      pending,
+}
+
+var errUnready = errors.New("a job could not be handed in")
+
+func main() {
+	name := flag.String("case", "", "case to play")
+	path := flag.String("record", "record.txt", "file for the record")
+	flag.Parse()
+	os.Exit(play(*name, *path))
+}
+
+func play(name, path string) int {
+	run, ok := cases[name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "no such case")
+		return 2
+	}
+	rec, err := newRecorder(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.add("case %s, disruption %v", name, trouble)
+	time.AfterFunc(maxTime, func() {
+		rec.add("verdict: could not run: it took too long")
+		killAll()
+		os.Exit(2)
+	})
+	res, err := run(rec, trouble)
+	switch {
+	case err != nil:
+		rec.add("verdict: could not run: %v", err)
+		fmt.Println("could not run:", err)
+		return 2
+	case res.broken != "":
+		rec.add("verdict: broken: %s", res.broken)
+		fmt.Println("broken:", res.broken)
+		return 1
+	}
+	rec.add("verdict: held")
+	fmt.Println("held")
+	return 0
+}
