--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -315,3 +315,54 @@
 	}
 	return result{}, nil
 }
+
+// cancelUnknown lets one write of the store be executed late and without an
+// answer. The client whose submission it is leaves early and cancels the job.
+func cancelUnknown(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 7, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const cancelBound = 3 * time.Second
+	id := jobID(4)
+	var mu sync.Mutex
+	late := false
+	f.store.fault = func(r *http.Request) storeVerdict {
+		mu.Lock()
+		defer mu.Unlock()
+		if !late || r.URL.Path != names.Append || r.URL.Query().Has("epoch") {
+			return serve
+		}
+		late = false
+		rec.add("store: this write gets no answer and is executed %v later", lateWrite)
+		return lateOne
+	}
+	for i := range 4 {
+		if !f.submit(i, jobID(i), sheet(2, 1, 3*time.Second, ""), 3*time.Second) {
+			return result{}, errUnready
+		}
+	}
+	mu.Lock()
+	late = trouble
+	mu.Unlock()
+	f.mu.Lock()
+	f.work[id] = 4 * time.Second
+	f.mu.Unlock()
+	f.callFor(120*time.Millisecond, f.machines[0], http.MethodPost, id, sheet(2, 1, 4*time.Second, ""))
+	time.Sleep(300 * time.Millisecond)
+	status, _ := f.call(f.machines[1], http.MethodDelete, id, nil)
+	if status/100 != 2 && status != http.StatusGone {
+		return result{}, fmt.Errorf("cancel was answered %d", status)
+	}
+	acked := time.Now()
+	time.Sleep(lateWrite + cancelBound + 2*time.Second)
+	for _, r := range f.executors.runsOf(id) {
+		if after := r.began.Sub(acked); after > cancelBound {
+			return result{fmt.Sprintf("UNASKED: run %d of %s on %s began %.1f s after its job's cancelling was answered %d", r.number, r.task, r.executor, after.Seconds(), status)}, nil
+		}
+	}
+	return result{}, nil
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -119,7 +119,7 @@
 	for i := range machineCount {
 		m := &machine{name: fmt.Sprintf("front-kochi-%d", i+1)}
 		f.machines = append(f.machines, m)
-		if m.storeAddr, err = f.listen(f.store.handler(m.name)); err != nil {
+		if m.storeAddr, err = f.listen(f.store.handler()); err != nil {
 			return f, err
 		}
 		var ports [2]int
@@ -277,6 +277,11 @@
 // call sends one call of a client to a machine and returns the status, 0 if there
 // was no answer, and the body.
 func (f *fleet) call(m *machine, method, id string, body any) (int, string) {
+	return f.callFor(callTimeout, m, method, id, body)
+}
+
+// callFor is like call, for a client that waits for the time and then leaves.
+func (f *fleet) callFor(wait time.Duration, m *machine, method, id string, body any) (int, string) {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
@@ -291,7 +296,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	client := &http.Client{Timeout: callTimeout}
+	client := &http.Client{Timeout: wait}
 	resp, err := client.Do(req)
 	if err != nil {
 		f.rec.add("client: %s %s at %s: no answer", method, id, m.name)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"crashes":      crashes,
 	"history":      history,
 	"pending":      pending,
+	"cancel":       cancelUnknown,
 }
 
 var errUnready = errors.New("a job could not be handed in")
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -19,11 +20,13 @@
 type storeVerdict int
 
 const (
-	serve      storeVerdict = iota
-	refuseCall              // 429, nothing is done
-	dropAnswer              // the call is executed, and the channel is reset
+	serve   storeVerdict = iota
+	lateOne              // the call gets no answer and is executed lateWrite later
 )
 
+// lateWrite is how much later a late write is executed.
+const lateWrite = 5 * time.Second
+
 // logRecord is a record of a topic.
 type logRecord struct {
 	data []byte
@@ -55,7 +58,7 @@
 // store is a stand-in of the platform's metadata store in the form of a log.
 type store struct {
 	keep  time.Duration // how long records are retained
-	fault func(instance string, r *http.Request) storeVerdict
+	fault func(r *http.Request) storeVerdict
 
 	mu      sync.Mutex
 	topics  map[string]*topic
@@ -119,8 +122,8 @@
 	s.add(name, [][]byte{data})
 }
 
-// handler serves the calls of one instance.
-func (s *store) handler(instance string) http.Handler {
+// handler serves the calls of the instances.
+func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+names.Append, s.append)
 	mux.HandleFunc("GET "+names.Read, s.read)
@@ -128,18 +131,17 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		verdict := serve
 		if s.fault != nil {
-			verdict = s.fault(instance, r)
+			verdict = s.fault(r)
 		}
 		time.Sleep(4 * time.Millisecond)
-		switch verdict {
-		case refuseCall:
-			w.WriteHeader(http.StatusTooManyRequests)
-		case dropAnswer:
-			mux.ServeHTTP(discard{}, r)
-			panic(http.ErrAbortHandler)
-		default:
-			mux.ServeHTTP(w, r)
+		if verdict == lateOne {
+			body, _ := io.ReadAll(r.Body)
+			again, _ := http.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
+			time.AfterFunc(lateWrite, func() { mux.ServeHTTP(discard{}, again) })
+			<-r.Context().Done()
+			return
 		}
+		mux.ServeHTTP(w, r)
 	})
 }
 
