--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -248,8 +248,8 @@
 	return result{}, nil
 }
 
-// pending hands in jobs while one of ten executors hangs, and asks how many have
-// not begun.
+// pending loses one of ten executors for good, hands in jobs that only had room
+// there, and asks how many have not begun.
 func pending(rec *recorder, trouble bool) (result, error) {
 	f, err := newFleet(rec, 3, 10, 300)
 	if f != nil {
@@ -258,7 +258,6 @@
 	if err != nil {
 		return result{}, err
 	}
-	const hangTime = 5500 * time.Millisecond
 	// All executors but one are full.
 	for i, e := range f.executors.list[1:] {
 		if !f.submit(i, jobID(i), sheet(1, 8, 60*time.Second, e.labels[1]), 60*time.Second) {
@@ -266,52 +265,39 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	var mu sync.Mutex
-	var sick *executor
-	f.executors.fault = func(e *executor, _, _ string, _ int) (orderVerdict, time.Duration) {
-		mu.Lock()
-		defer mu.Unlock()
-		if e == sick {
-			return hang, 0
-		}
-		return obey, 0
-	}
 	if trouble {
-		mu.Lock()
-		sick = f.executors.list[0]
-		mu.Unlock()
-		rec.add("%s hangs from now on for %v", f.executors.list[0].id, hangTime)
+		f.executors.list[0].crash()
 	}
-	began := time.Now()
 	var ids []string
-	for i := range 8 {
+	var wait sync.WaitGroup
+	accepted := make([]bool, 8)
+	for i := range accepted {
 		ids = append(ids, jobID(100+i))
-		if !f.submit(i, ids[i], sheet(1, 1, 8*time.Second, ""), 8*time.Second) {
-			return result{}, errUnready
-		}
+		wait.Go(func() { accepted[i] = f.submit(i, jobID(100+i), sheet(1, 1, 30*time.Second, ""), 30*time.Second) })
+	}
+	wait.Wait()
+	if slices.Contains(accepted, false) {
+		return result{}, errUnready
 	}
-	accepted := time.Now()
-	time.Sleep(time.Until(accepted.Add(5050 * time.Millisecond)))
-	waiting := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return len(f.executors.runsOf(id)) > 0 })
 	var broken []string
-	for _, m := range f.machines {
-		status, body := f.call(m, http.MethodGet, "", nil)
-		var n int
-		if _, err := fmt.Sscanf(body, `{"pending":%d}`, &n); status != http.StatusOK || err != nil {
-			return result{}, fmt.Errorf("pending was answered %d %s", status, body)
-		}
-		if 2*n < len(waiting) {
-			broken = append(broken, fmt.Sprintf("%s gives %d as pending", m.name, n))
+	for range 3 {
+		time.Sleep(6 * time.Second)
+		waiting := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return len(f.executors.runsOf(id)) > 0 })
+		rec.add("%d of %d jobs have not begun", len(waiting), len(ids))
+		for _, m := range f.machines {
+			status, body := f.call(m, http.MethodGet, "", nil)
+			var n int
+			if _, err := fmt.Sscanf(body, `{"pending":%d}`, &n); status != http.StatusOK || err != nil {
+				return result{}, fmt.Errorf("pending was answered %d %s", status, body)
+			}
+			if 2*n < len(waiting) {
+				broken = append(broken, fmt.Sprintf("%s gives %d as pending while %d jobs wait", m.name, n, len(waiting)))
+			}
 		}
 	}
-	rec.add("%d of %d jobs have not begun, %.3f s after the hang began", len(waiting), len(ids), time.Since(began).Seconds())
-	time.Sleep(time.Until(began.Add(hangTime)))
-	mu.Lock()
-	sick = nil
-	mu.Unlock()
-	time.Sleep(15 * time.Second)
+	f.state(f.machines[0], ids[0])
 	if len(broken) > 0 {
-		return result{fmt.Sprintf("MIXED: %d jobs that were accepted over 5 s before have not begun; %s", len(waiting), strings.Join(broken, ", "))}, nil
+		return result{"MIXED: 6, 12 and 18 s after the jobs were accepted: " + strings.Join(broken, ", ")}, nil
 	}
 	return result{}, nil
 }
@@ -366,3 +352,45 @@
 	}
 	return result{}, nil
 }
+
+// rackWait lets an urgent job take the executor of a lasting task whose data lies
+// in the rack of that executor, while all other executors are idle.
+func rackWait(rec *recorder, trouble bool) (result, error) {
+	f, err := newFleet(rec, 3, 8, 300)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	const (
+		afterRun = 6 * time.Second // from the last run until the task is owed
+		idle     = 3 * time.Second
+		calm     = 4 * time.Second
+	)
+	lasting := jobID(1)
+	j := sheet(1, 8, time.Minute, "")
+	j.LongRunning = true
+	j.Steps[0].Affinity = "r1-3"
+	if !f.submit(0, lasting, j, 0) {
+		return result{}, errUnready
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		for i := range 4 {
+			if !f.submit(i, urgentPrefix+jobID(10+i), sheet(1, 8, 40*time.Second, fmt.Sprintf("r1-%d", i)), 40*time.Second) {
+				return result{}, errUnready
+			}
+		}
+	}
+	time.Sleep(afterRun + idle + calm + 10*time.Second)
+	runs := f.executors.runsOf(lasting)
+	if len(runs) == 0 {
+		return result{}, errUnready
+	}
+	last := runs[len(runs)-1]
+	if !last.ended.IsZero() {
+		return result{fmt.Sprintf("LOST: the lasting task %s has not run for %.1f s, while %d of %d executors are idle", last.task, time.Since(last.ended).Seconds(), f.executors.idle(), len(f.executors.list))}, nil
+	}
+	return result{}, nil
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -430,3 +430,16 @@
 	}
 	return ""
 }
+
+// idle returns the number of executors that are up and run nothing.
+func (s *executors) idle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.list {
+		if e.up && len(e.running) == 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -20,9 +21,10 @@
 )
 
 const (
-	queuePrefix = "/sheets/"
-	queueHost   = "desk.example"
-	apiKey      = "d4a3hwrr6x73d3zji9n7"
+	queuePrefix  = "/sheets/"
+	urgentPrefix = "/checks/" // of the queue of the most urgent priority
+	queueHost    = "desk.example"
+	apiKey       = "d4a3hwrr6x73d3zji9n7"
 
 	graceS        = 6
 	startTimeout  = 15 * time.Second
@@ -161,10 +163,16 @@
 func (f *fleet) publishConfig(version int) {
 	f.store.publish("keyed.op", "config", map[string]any{
 		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": queueHost, "pathPrefix": queuePrefix, "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 3000,
-			"priority": 2, "service": "press", "maxAttempts": 3, "stretch": 3.0, "public": false,
-		}},
+		"routes": []map[string]any{
+			{
+				"name": "r-1", "host": queueHost, "pathPrefix": queuePrefix, "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 3000,
+				"priority": 2, "service": "press", "maxAttempts": 3, "stretch": 3.0, "public": false,
+			},
+			{
+				"name": "r-0", "host": queueHost, "pathPrefix": urgentPrefix, "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 250,
+				"priority": 0, "service": "press", "maxAttempts": 4, "stretch": 1.5, "public": false,
+			},
+		},
 		"services": []map[string]any{{
 			"name": "press", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "rejectsOverload": false, "standby": false,
 		}},
@@ -275,7 +283,7 @@
 }
 
 // call sends one call of a client to a machine and returns the status, 0 if there
-// was no answer, and the body.
+// was no answer, and the body. An id that begins with a slash is a whole path.
 func (f *fleet) call(m *machine, method, id string, body any) (int, string) {
 	return f.callFor(callTimeout, m, method, id, body)
 }
@@ -286,7 +294,11 @@
 	if body != nil {
 		data, _ = json.Marshal(body)
 	}
-	req, err := http.NewRequest(method, "http://"+m.front+queuePrefix+id, bytes.NewReader(data))
+	target := queuePrefix + id
+	if strings.HasPrefix(id, "/") {
+		target = id
+	}
+	req, err := http.NewRequest(method, "http://"+m.front+target, bytes.NewReader(data))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -318,6 +330,7 @@
 	GPU         int    `json:"gpu,omitempty"`
 	EstimateMs  int64  `json:"estimateMs"`
 	Constraints string `json:"constraints,omitempty"`
+	Affinity    string `json:"affinity,omitempty"`
 }
 
 // job is the body of a submission.
@@ -334,7 +347,7 @@
 // until one accepts it.
 func (f *fleet) submit(first int, id string, j job, work time.Duration) bool {
 	f.mu.Lock()
-	f.work[id] = work
+	f.work[path.Base(id)] = work
 	f.mu.Unlock()
 	for try := range 5 {
 		status, _ := f.call(f.machines[(first+try)%len(f.machines)], http.MethodPost, id, j)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"history":      history,
 	"pending":      pending,
 	"cancel":       cancelUnknown,
+	"rack-wait":    rackWait,
 }
 
 var errUnready = errors.New("a job could not be handed in")
