Show that a restarted process deposes the leader and repeats finished work

The claim of the leader expires with the history of the log. An instance that starts later knows neither epoch nor leader, ignores the leader's records and claims the leadership.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -394,3 +394,46 @@
 	}
 	return result{}, nil
 }
+
+// oldLeader kills and restarts one process, not the leader's, when the store no
+// longer retains the record by which the leader was elected.
+func oldLeader(rec *recorder, trouble bool) (result, error) {
+	const keepS = 20
+	f, err := newFleet(rec, 3, 7, keepS)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	// A job is handed in every 2 s; its two tasks run for 5 s.
+	n := 0
+	play := func(d time.Duration) error {
+		for end := time.Now().Add(d); time.Now().Before(end); n++ {
+			if !f.submit(0, jobID(n), sheet(2, 2, 5*time.Second, ""), 5*time.Second) {
+				return errUnready
+			}
+			time.Sleep(2 * time.Second)
+		}
+		return nil
+	}
+	if err := play((keepS + 10) * time.Second); err != nil {
+		return result{}, err
+	}
+	if trouble {
+		m := f.machines[2]
+		if f.leads(m) {
+			m = f.machines[1]
+		}
+		f.kill(m)
+		time.Sleep(time.Second)
+		if err := f.startProcess(m); err != nil {
+			return result{}, err
+		}
+	}
+	if err := play(12 * time.Second); err != nil {
+		return result{}, err
+	}
+	time.Sleep(8 * time.Second)
+	return result{f.executors.startedAgain() + f.executors.twice()}, nil
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -39,6 +39,7 @@
 	ended    time.Time
 	how      string
 	stopAt   time.Time
+	noted    bool // its end was acknowledged
 }
 
 // executors is the set of all executors and the record of what they ran.
@@ -363,6 +364,7 @@
 			e.extend(o.UntilMs)
 		}
 		for len(e.ended) > 0 && e.ended[0].n <= o.AckCursor {
+			e.ended[0].run.noted = true
 			e.ended = e.ended[1:]
 		}
 		status, out := e.answer(http.StatusOK, "")
@@ -449,6 +451,26 @@
 	return ""
 }
 
+// startedAgain returns a description of the starts after a run of the task had ended
+// done and this end had been taken note of.
+func (s *executors) startedAgain() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, a := range s.runs {
+		for _, b := range s.runs {
+			if a.task == b.task && a.how == "done" && a.noted && b.began.After(a.ended) {
+				out = append(out, fmt.Sprintf("task %s: run %d ended done at %.3f on %s, run %d began at %.3f on %s", a.task,
+					a.number, s.rec.at(a.ended), a.executor, b.number, s.rec.at(b.began), b.executor))
+			}
+		}
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	return "TWICE: " + strings.Join(out, "; ")
+}
+
 // idle returns the number of executors that are up and run nothing.
 func (s *executors) idle() int {
 	s.mu.Lock()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -368,3 +368,9 @@
 	}
 	return status, v.State
 }
+
+// leads reports whether the machine leads, by its log.
+func (f *fleet) leads(m *machine) bool {
+	data, err := os.ReadFile(filepath.Join(f.dir, m.name+".log"))
+	return err == nil && strings.Contains(string(data), "this instance became the leader")
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"crashes":      crashes,
 	"history":      history,
 	"pending":      pending,
+	"old-leader":   oldLeader,
 	"cancel":       cancelUnknown,
 	"rack-wait":    rackWait,
 }
