--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -49,6 +50,8 @@
 	work  func(job string) time.Duration // how long a task of the job runs
 	fault func(e *executor, call, task string, run int) (orderVerdict, time.Duration)
 
+	damage atomic.Pointer[func([]byte) []byte] // of two in five answers
+
 	mu   sync.Mutex
 	list []*executor
 	runs []*run // all runs that ever began
@@ -289,6 +292,12 @@
 	if call != "hold" {
 		e.set.rec.add("%s: %s of run %d of %s answered %d %v", e.id, call, o.Run, o.Task, status, out["reason"])
 	}
+	if damage := e.set.damage.Load(); damage != nil && time.Now().UnixNano()/1000%5 < 2 {
+		data, _ := json.Marshal(out)
+		w.WriteHeader(status)
+		_, _ = w.Write((*damage)(data))
+		return
+	}
 	respond(w, status, out)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,8 @@
 	"history":      history,
 	"pending":      pending,
 	"old-leader":   oldLeader,
+	"malformed":    malformed,
+	"preemption":   refusedPreemption,
 	"cancel":       cancelUnknown,
 	"rack-wait":    rackWait,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -122,6 +122,13 @@
 	s.add(name, [][]byte{data})
 }
 
+// publishRaw writes a value as it is.
+func (s *store) publishRaw(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(name, [][]byte{append(append([]byte{byte(len(key))}, key...), value...)})
+}
+
 // handler serves the calls of the instances.
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
