--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -405,26 +405,28 @@
 // oldLeader kills and restarts one process, not the leader's, when the store no
 // longer retains the record by which the leader was elected.
 func oldLeader(rec *recorder, trouble bool) (result, error) {
-	const keepS = 20
-	f, err := newFleet(rec, 3, 7, keepS)
+	keep := time.Duration(*keepS) * time.Second
+	// Few enough jobs that no snapshot is due within the retention time.
+	interval := max(2*time.Second, keep/60)
+	f, err := newFleet(rec, 3, 7, *keepS)
 	if f != nil {
 		defer f.close()
 	}
 	if err != nil {
 		return result{}, err
 	}
-	// A job is handed in every 2 s; its two tasks run for 5 s.
+	// The two tasks of each job run for 5 s.
 	n := 0
 	play := func(d time.Duration) error {
 		for end := time.Now().Add(d); time.Now().Before(end); n++ {
 			if !f.submit(0, jobID(n), sheet(2, 2, 5*time.Second, ""), 5*time.Second) {
 				return errUnready
 			}
-			time.Sleep(2 * time.Second)
+			time.Sleep(interval)
 		}
 		return nil
 	}
-	if err := play((keepS + 10) * time.Second); err != nil {
+	if err := play(keep + 10*time.Second); err != nil {
 		return result{}, err
 	}
 	if trouble {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,8 +14,16 @@
 	"time"
 )
 
-// maxTime bounds the duration of a case.
-const maxTime = 115 * time.Second
+// maxTime bounds the duration of a case whose store keeps records for
+// defaultKeepS.
+const (
+	maxTime      = 115 * time.Second
+	defaultKeepS = 20
+)
+
+// keepS is the number of seconds for which the store of the play old-leader
+// retains records.
+var keepS = flag.Int("keep", defaultKeepS, "seconds of the store's history in the play old-leader; longer plays with more")
 
 // result is the verdict of a case: how the rule was broken, empty if it held.
 type result struct {
@@ -59,7 +67,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption %v", name, trouble)
-	time.AfterFunc(maxTime, func() {
+	time.AfterFunc(maxTime+time.Duration(*keepS-defaultKeepS)*time.Second, func() {
 		rec.add("verdict: could not run: it took too long")
 		killAll()
 		os.Exit(2)
