--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Builds the stand-in that the scripts of the cases start.
 cd "$(dirname "$0")/.." || exit 2
-exec go build -tags review -o target/review-standin ./review/standin
+exec go build -buildvcs=false -tags review -o target/review-standin ./review/standin
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -173,7 +173,10 @@
 	time.Sleep(16 * time.Second)
 	shown := make(map[string]string)
 	for _, id := range []string{plain, lasting} {
-		_, state := f.state(f.machines[2], id)
+		status, state := f.state(f.machines[2], id)
+		if status != http.StatusOK && status != http.StatusGone {
+			return result{}, fmt.Errorf("the state of %s was answered %d", id, status)
+		}
 		runs, failed := f.executors.runsOf(id), 0
 		for _, r := range runs {
 			if r.how == "failed" {
@@ -187,6 +190,9 @@
 		return result{fmt.Sprintf("LOST: the job %s, whose task lasts, is shown as %q, and no run of it ended failed; the other job is shown as %q", lasting, state, shown[plain])}, nil
 	}
 	runs := f.executors.runsOf(lasting)
+	if len(runs) == 0 {
+		return result{}, errUnready
+	}
 	if last := runs[len(runs)-1]; !last.ended.IsZero() {
 		return result{fmt.Sprintf("LOST: the task of %s, which lasts, does not run", lasting)}, nil
 	}
@@ -402,13 +408,13 @@
 	return result{}, nil
 }
 
-// oldLeader kills and restarts one process, not the leader's, when the store no
+// oldLeader kills and restarts one of seven processes, not the leader's, when the store no
 // longer retains the record by which the leader was elected.
 func oldLeader(rec *recorder, trouble bool) (result, error) {
 	keep := time.Duration(*keepS) * time.Second
 	// Few enough jobs that no snapshot is due within the retention time.
 	interval := max(2*time.Second, keep/60)
-	f, err := newFleet(rec, 3, 7, *keepS)
+	f, err := newFleet(rec, 7, 7, *keepS)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -75,6 +75,7 @@
 	ended   []endedRun
 	lastEnd int
 	changed chan struct{}
+	lapsed  time.Time // last time without a lease
 }
 
 type endedRun struct {
@@ -206,6 +207,9 @@
 		if !e.up {
 			continue
 		}
+		if e.clock() >= e.until {
+			e.lapsed = now
+		}
 		for _, r := range slices.Collect(maps.Values(e.running)) {
 			job, _, _ := strings.Cut(r.task, ".")
 			switch work := s.work(job); {
@@ -373,7 +377,9 @@
 			e.extend(o.UntilMs)
 		}
 		for len(e.ended) > 0 && e.ended[0].n <= o.AckCursor {
-			e.ended[0].run.noted = true
+			// An end counts as taken note of unless the lease lapsed in between.
+			r := e.ended[0].run
+			r.noted = e.clock() < e.until && !e.lapsed.After(r.ended)
 			e.ended = e.ended[1:]
 		}
 		status, out := e.answer(http.StatusOK, "")
@@ -391,6 +397,7 @@
 	var first order
 	e.receive(w, r, "hold", func(o order) (int, map[string]any) {
 		first = o
+		life := e.born
 		status, out := report(o)
 		if status != http.StatusOK || listed || wait == 0 {
 			return status, out
@@ -403,6 +410,9 @@
 		case <-r.Context().Done():
 		}
 		e.set.mu.Lock()
+		if !e.up || !e.born.Equal(life) {
+			return http.StatusServiceUnavailable, nil // its channel was closed by the crash
+		}
 		first.UntilMs = 0
 		return report(first)
 	})
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -58,18 +58,27 @@
 	work map[string]time.Duration // of a task, by job; 0 is until it is stopped
 }
 
-// current is the deployment of the case, for killAll.
+// current is the deployment of the case, for cleanUp.
 var current *fleet
 
-// killAll ends all processes that the case started.
-func killAll() {
-	if current == nil {
-		return
+// started holds the processes of the current case.
+var started struct {
+	sync.Mutex
+	list []*os.Process
+	over bool // no process starts any more
+}
+
+// cleanUp ends all processes that the case started and removes its temporary
+// folder.
+func cleanUp() {
+	started.Lock()
+	defer started.Unlock()
+	started.over = true
+	for _, p := range started.list {
+		_ = p.Kill() // fails if it has ended
 	}
-	for _, m := range current.machines {
-		if c := m.cmd; c != nil && c.Process != nil {
-			_ = c.Process.Kill()
-		}
+	if current != nil {
+		os.RemoveAll(current.dir)
 	}
 }
 
@@ -218,9 +227,15 @@
 	}
 	defer out.Close()
 	m.cmd.Stdout, m.cmd.Stderr = out, out
+	started.Lock()
+	defer started.Unlock()
+	if started.over {
+		return errors.New("the case is over")
+	}
 	if err := m.cmd.Start(); err != nil {
 		return err
 	}
+	started.list = append(started.list, m.cmd.Process)
 	f.rec.add("%s: process started", m.name)
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -67,9 +69,19 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption %v", name, trouble)
+	// Whatever ends the case, its processes end with it.
+	defer cleanUp()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		rec.add("verdict: could not run: ended by a signal")
+		cleanUp()
+		os.Exit(2)
+	}()
 	time.AfterFunc(maxTime+time.Duration(*keepS-defaultKeepS)*time.Second, func() {
 		rec.add("verdict: could not run: it took too long")
-		killAll()
+		cleanUp()
 		os.Exit(2)
 	})
 	res, err := run(rec, trouble)
