--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -204,6 +204,9 @@
 	if err != nil && !errors.As(err, &refused) {
 		return false
 	}
+	if refused != nil {
+		l.Logger.Info("worker refused stop", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
+	}
 	l.mu.Lock()
 	unanswered := n.acceptedAt.IsZero()
 	if unanswered {
