Never give up a task that lasts because its workers crash

Callers saw a job whose task lasts shown as failed after five crashes of the one worker that it could run on, though no run of it had ended as failed; it was never started again. A lasting task runs until its job is cancelled, and its runs have no limit, but the count of crashes that stops a task that crashes worker after worker did not exempt it.

A step that lasts is now exempt.

Open: an ordinary job that can run on one worker only is still given up after five crashes of this worker.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -120,7 +120,7 @@
 	if j.Attempts > 0 && r.failures[o.Task] >= j.Attempts && !s.LongRunning {
 		r.addViolation("BUDGET", o.Task, " run ", o.Run)
 	}
-	if ws.DeadlyJobs[j.ID] && r.crashes[o.Task] >= maxCrashes {
+	if ws.DeadlyJobs[j.ID] && !s.LongRunning && r.crashes[o.Task] >= maxCrashes {
 		if r.deadlyStarts[o.Task]++; r.deadlyStarts[o.Task] > maxDeadlyStarts {
 			r.addViolation("BUDGET", o.Task, " run ", o.Run, " after it crashed ", r.crashes[o.Task], " workers")
 		}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -32,10 +32,6 @@
 	// stopped and they become free as runs end.
 	drainExtraTime = 8 * time.Second
 
-	// retryDelayMs is the pause before the next run of a unit, for each of its
-	// failures.
-	retryDelayMs = 100
-
 	// dueMarginMs delays the start of a scheduled occurrence, for clocks that
 	// are slightly ahead.
 	dueMarginMs = 20
@@ -228,7 +224,7 @@
 		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
 			runningTasks[key] = l.tasksPerWorker(js, key)
 		}
-		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs || in.Now < u.RunEndedAt+int64(u.Failures)*retryDelayMs {
+		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs || in.Now < u.RunEndedAt+u.RetryDelay() {
 			continue
 		}
 		if _, ok := l.proposedStarts[u.ID]; ok {
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -124,7 +124,7 @@
 		u.Done = true
 	case Failed:
 		u.RunFailed = true
-		u.FailedOn = append(u.FailedOn, m.Worker)
+		u.addFailedOn(m.Worker)
 	case WorkerCrashed:
 		u.countCrash(r)
 	}
@@ -165,12 +165,18 @@
 	case s.UndoneUnits == 0:
 		s.Phase = Finished
 		s.EndedAt = r.At
-	case !u.Done && !step.LongRunning && s.Job.Attempts > 0 && u.Failures >= s.Job.Attempts, u.crashesWorkers():
+	case !step.LongRunning && s.mustGiveUp(u):
 		s.Phase = JobFailed
 		s.EndedAt = r.At
 	}
 }
 
+// mustGiveUp reports whether the unit has used up its attempts or has crashed too
+// many workers.
+func (s *JobState) mustGiveUp(u *Unit) bool {
+	return !u.Done && s.Job.Attempts > 0 && u.Failures >= s.Job.Attempts || u.crashesWorkers()
+}
+
 // applyRewrite replaces the state of a job by the one in the record. It rejects
 // a job without an ID and units of steps that the job does not have.
 func (s *State) applyRewrite(c *JobState) bool {
--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -3,7 +3,8 @@
 const (
 	// minCrashes is the number of workers that crash under a task before its job
 	// fails, if minPromptCrashes of them did so right after they had accepted it.
-	// Other tasks crash along with their worker as well, rarely so often.
+	// Other tasks crash along with their worker as well, rarely so often. A job
+	// whose task lasts never fails; its task waits longer before each run.
 	minCrashes       = 3
 	minPromptCrashes = 2
 
