Count a stop request as delivered only if the worker has carried it out

Callers saw tasks of cancelled jobs run on, with their leases renewed, and urgent work wait for preempted work that nobody had told to stop.

Cause: tryStop took every refusal for an answer. A worker that refused the request as unhealthy was never asked again, and a run that it did not report yet counted as gone with its next report, while its start request could still be carried out.

settledBy says what an answer settles: nothing, this one request, or the run. Only "carried out" and "this run has ended or was stopped" settle a stop. All others are repeated with a pause that doubles from 150 ms to 1 s, until the run has ended or the epoch does. A confirmed stop of a run that was not known to be on the worker is followed by report requests until one is newer than it.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -26,8 +26,10 @@
 	// connections at once.
 	startRetryInterval = 100 * time.Millisecond
 
-	// stopRetryDelay is the pause between two attempts of a stop request.
-	stopRetryDelay = 150 * time.Millisecond
+	// minStopPause and maxStopPause bound the pause between two steps to stop a
+	// run. It doubles with each step.
+	minStopPause = 150 * time.Millisecond
+	maxStopPause = time.Second
 )
 
 // deliverStart sends a start request until the worker answers or the start is
@@ -83,7 +85,7 @@
 	}
 	t := l.target(w)
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
-	n.startSent = true
+	n.openStarts++
 	delete(l.unsentStarts, n)
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
@@ -102,9 +104,10 @@
 	var refused *RefusedError
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n.recordAnswer(settledBy(err))
 	switch {
 	case err == nil:
-		n.accepted, n.acceptedAt = true, time.Now()
+		n.accepted = true
 		l.Logger.Debug("run started", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Int("try", try))
 		w.wakeSession()
 		return true
@@ -130,9 +133,7 @@
 	case RefusedStaleEpoch:
 		return // this leader learns of the newer epoch from the log
 	case RefusedStaleRun:
-		// The run has ended or was stopped on the worker; the next report says which.
-		n.acceptedAt = time.Now()
-		w.wakeSession()
+		w.wakeSession() // the next report says how the run ended
 		return
 	case RefusedUnhealthy, RefusedIncarnation:
 		w.unhealthyAt = time.Now()
@@ -167,7 +168,7 @@
 	}
 	n.stopping = true
 	delete(l.unsentStarts, n)
-	if !n.startSent && !n.inherited {
+	if n.neverStarted() {
 		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
 		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
 		go l.Feed.Propose(l.Epoch, r)
@@ -177,44 +178,48 @@
 	go l.deliverStop(w, n)
 }
 
-// deliverStop sends a stop request until the worker answers or the run has
-// ended.
+// deliverStop stops a run: it sends stop requests until the worker has carried
+// one out, and requests reports until one shows what has become of the run.
 func (l *Leader) deliverStop(w *worker, n *run) {
-	for l.ctx.Err() == nil {
+	for pause := minStopPause; l.ctx.Err() == nil; pause = min(2*pause, maxStopPause) {
 		l.mu.Lock()
-		t := l.target(w)
-		gone := n.endProposed || w.runs[n.key] != n
+		t, step := l.target(w), n.nextStopStep(w)
 		l.mu.Unlock()
-		if gone {
+		if step == stopDone {
 			return
 		}
-		if t.Addr != "" && l.tryStop(w, t, n) {
-			return
+		if t.Addr != "" && l.takeStopStep(w, n, t, step) {
+			continue
 		}
-		delay.For(l.ctx, stopRetryDelay)
+		delay.For(l.ctx, pause)
+	}
+}
+
+// takeStopStep takes one step to stop a run and reports whether the next one is
+// due at once.
+func (l *Leader) takeStopStep(w *worker, n *run, t Target, step stopStep) bool {
+	switch step {
+	case stopRequest:
+		return l.tryStop(w, n, t)
+	case stopReport:
+		l.requestReport(w)
 	}
+	return false
 }
 
-// tryStop sends a stop request once and reports whether the worker answered it.
-func (l *Leader) tryStop(w *worker, t Target, n *run) bool {
+// tryStop sends a stop request once and reports whether the worker refuses the
+// run from now on.
+func (l *Leader) tryStop(w *worker, n *run, t Target) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
 	defer cancel()
-	err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run})
-	var refused *RefusedError
-	if err != nil && !errors.As(err, &refused) {
+	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
+		l.Logger.Debug("run not stopped; trying again", zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("run", n.key.run), zap.Error(err))
 		return false
 	}
 	l.mu.Lock()
-	unanswered := n.acceptedAt.IsZero()
-	if unanswered {
-		// The worker refuses the run from now on, so a later report without
-		// the run proves that it is not on the worker and never will be.
-		n.acceptedAt = time.Now()
-	}
-	l.mu.Unlock()
-	if unanswered {
-		l.requestReport(w)
-	}
+	defer l.mu.Unlock()
+	n.stoppedAt = time.Now()
+	n.settle()
 	return true
 }
 
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,11 @@
 }
 
 // newStartTest returns a leader that has contacted incarnation 1 of its worker. No
-// stop request is answered.
+// stop request is answered unless the client has a function for them.
 func newStartTest(t *testing.T, client WorkerClient) *startTest {
-	client.Stop = func(context.Context, Target, StopRequest) error { return errRefusedConn }
+	if client.Stop == nil {
+		client.Stop = func(context.Context, Target, StopRequest) error { return errRefusedConn }
+	}
 	l := &Leader{Epoch: 1, Feed: &feed.Feed{}, Policy: &policy.Current{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}, Client: client}
 	ctx, cancel := context.WithCancel(t.Context())
 	l.Init(ctx, ledger.NewState(), nil)
@@ -47,6 +50,20 @@
 	synctest.Wait()
 }
 
+// stop stops the run.
+func (s *startTest) stop() {
+	s.leader.mu.Lock()
+	defer s.leader.mu.Unlock()
+	s.leader.stopRun(s.worker, s.run, "cancelled")
+}
+
+// ended reports whether the end of the run was proposed.
+func (s *startTest) ended() bool {
+	s.leader.mu.Lock()
+	defer s.leader.mu.Unlock()
+	return s.run.endProposed
+}
+
 var errRefusedConn = &NoAnswerError{errors.New("connection refused")}
 
 // Guards against start requests in an endless loop to a worker that refuses connections.
@@ -108,3 +125,64 @@
 		is.Equal(startedOn, []int64{1})
 	})
 }
+
+// Guards against a run that goes on, or starts late, because a worker that refused the stop request counts as stopped.
+func TestStopRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		reason Refusal
+		runs   bool // the run is on the worker until it is stopped
+	}{
+		{"unhealthy", RefusedUnhealthy, true},
+		{"invalid", RefusedInvalid, true},
+		{"another incarnation", RefusedIncarnation, true},
+		{"newer leader", RefusedStaleEpoch, true},
+		{"unhealthy, start without an answer", RefusedUnhealthy, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var stops atomic.Int32
+				var stoppable, stopped atomic.Bool
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						if tt.runs {
+							return nil
+						}
+						return errRefusedConn
+					},
+					Stop: func(context.Context, Target, StopRequest) error {
+						stops.Add(1)
+						if !stoppable.Load() {
+							return &RefusedError{tt.reason}
+						}
+						stopped.Store(true)
+						return nil
+					},
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) {
+						if tt.runs && !stopped.Load() {
+							return Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "a"}, Run: 1}}}, nil
+						}
+						return Report{Incarnation: 1}, nil
+					},
+				})
+				defer s.cancel()
+				s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				s.stop()
+				time.Sleep(20 * time.Second)
+				synctest.Wait()
+				is.True(!s.ended())
+				is.True(stops.Load() >= 20)  // at least one a second
+				is.True(stops.Load() <= 160) // not in an endless loop
+				stoppable.Store(true)
+				time.Sleep(2 * time.Second)
+				s.leader.requestReport(s.worker)
+				is.True(s.ended())
+				sent := stops.Load()
+				time.Sleep(20 * time.Second)
+				is.Equal(stops.Load(), sent) // none after the end
+			})
+		})
+	}
+}
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -63,16 +63,17 @@
 	member       int
 	incarnation  int64 // of the worker for which it was decided; 0 is unknown
 	startedAt    time.Time
-	startSent    bool      // the start request may have been sent
+	openStarts   int       // start requests of this epoch without an answer; each may still be carried out
 	unansweredAt time.Time // end of the newest attempt to start it that had no answer
-	inherited    bool      // started by an earlier leader
 	accepted     bool      // the worker answered that it started the run
-	acceptedAt   time.Time // when the worker accepted the start, or refused it for good; zero while unknown
+	settledAt    time.Time // when the worker was known to have the run, to have had it or to refuse it; zero while unknown
 	reported     bool      // the worker has reported it as running
 	checkpoint   string
 	progress     progressSample
 	stopping     bool
-	endProposed  bool // a record of its end has been proposed
+	stoppedAt    time.Time // when the worker had carried out a stop request
+	removed      bool      // no longer among the runs of its worker
+	endProposed  bool      // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
@@ -110,8 +111,7 @@
 		}
 		w := l.ensureWorker(m.Worker)
 		r := newRun(js, u, i)
-		r.acceptedAt = l.startedAt
-		r.inherited = true
+		r.settledAt = l.startedAt // a worker that has answered this leader refuses the requests of earlier ones
 		r.checkpoint = u.Checkpoint
 		l.addRun(w, r)
 		switch {
@@ -142,6 +142,7 @@
 
 // removeRun removes a run from its worker. The caller holds l.mu.
 func (l *Leader) removeRun(n *run) {
+	n.removed = true
 	delete(n.worker.runs, n.key)
 	delete(l.unsentStarts, n)
 	rest := slices.DeleteFunc(l.unitRuns[n.unit], func(o *run) bool { return o == n })
--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -65,7 +65,7 @@
 		switch {
 		case n.reported:
 			reported[n] = true
-		case n.startSent || n.inherited:
+		case !n.neverStarted():
 			unreported[n] = true
 		}
 	}
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -9,9 +10,9 @@
 // Guards against blaming a crash on work that only ran beside its cause, and against blaming it on nothing.
 func TestCrashSuspects(t *testing.T) {
 	unsent := &run{}
-	unanswered := &run{startSent: true}
-	accepted := &run{startSent: true, accepted: true}
-	reported := &run{startSent: true, accepted: true, reported: true}
+	unanswered := &run{openStarts: 1}
+	accepted := &run{settledAt: time.Now(), accepted: true}
+	reported := &run{settledAt: time.Now(), accepted: true, reported: true}
 	tests := []struct {
 		name   string
 		listed bool
--- /dev/null
+++ b/internal/fleet/leader/proof.go
@@ -0,0 +1,93 @@
+package leader
+
+import (
+	"errors"
+	"time"
+)
+
+// settlement is what the result of a start or stop request settles about a run.
+type settlement int
+
+const (
+	// settlesNothing means that the request may have been carried out, or may
+	// still be, even after requests that were sent later.
+	settlesNothing settlement = iota
+
+	// settlesRequest means that this request had no effect and never will have
+	// one. It says nothing about other requests.
+	settlesRequest
+
+	// settlesRun means that the worker has the run, had it, or refuses it from
+	// now on, so no other request to start the run has an effect.
+	settlesRun
+)
+
+// settledBy returns what the result of a start or stop request settles.
+func settledBy(err error) settlement {
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return settlesRun
+	case !errors.As(err, &refused):
+		return settlesNothing
+	case refused.Reason == RefusedStaleRun:
+		return settlesRun
+	}
+	return settlesRequest
+}
+
+// recordAnswer notes what the result of a request to start the run settles.
+func (n *run) recordAnswer(s settlement) {
+	if s != settlesNothing {
+		n.openStarts--
+	}
+	if s == settlesRun {
+		n.settle()
+	}
+}
+
+// settle notes that the worker has the run, had it, or refuses it from now on.
+func (n *run) settle() {
+	if !n.settled() {
+		n.settledAt = time.Now()
+	}
+}
+
+// settled reports whether the worker is known to have the run, to have had it, or
+// to refuse it.
+func (n *run) settled() bool { return !n.settledAt.IsZero() }
+
+// neverStarted reports whether the run certainly has not started and will not
+// start unless another request is sent.
+func (n *run) neverStarted() bool { return n.openStarts == 0 && !n.settled() }
+
+// absent reports whether a report that lacks the run proves that the run is not
+// on the worker and will not start there. A report that was requested earlier than
+// the run was settled may be older than the run.
+func (n *run) absent(requested time.Time) bool {
+	return n.settled() && !requested.Before(n.settledAt)
+}
+
+// stopStep is a step to stop a run.
+type stopStep int
+
+const (
+	stopDone    stopStep = iota // the run has ended
+	stopRequest                 // the worker has to be asked to stop the run
+	stopReport                  // a report has to show what has become of the run
+	stopWait                    // the worker has stopped the run and will report its end
+)
+
+// nextStopStep returns the next step to stop the run. The caller holds the lock
+// of the leader.
+func (n *run) nextStopStep(w *worker) stopStep {
+	switch {
+	case n.endProposed || n.removed:
+		return stopDone
+	case n.stoppedAt.IsZero():
+		return stopRequest
+	case !n.settledAt.Before(n.stoppedAt) && !w.reportSentAt.After(n.settledAt):
+		return stopReport
+	}
+	return stopWait
+}
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -205,9 +205,7 @@
 	}
 	var missing, crashed []*run
 	for _, n := range w.unendedRuns() {
-		// A report that was requested before the worker accepted the run may be
-		// older than the run, even if the worker has restarted in between.
-		if present[n.key] || n.acceptedAt.IsZero() || !n.acceptedAt.Before(sent) {
+		if present[n.key] || !n.absent(sent) {
 			continue
 		}
 		if restarted || n.incarnation != 0 && n.incarnation != rep.Incarnation {
@@ -229,9 +227,7 @@
 
 // updateFromReport updates the run from the worker's report.
 func (n *run) updateFromReport(t RunningTask) {
-	if n.acceptedAt.IsZero() {
-		n.acceptedAt = time.Now()
-	}
+	n.settle()
 	n.reported = true
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
