Stop a refused run if an earlier start request may still be carried out

Callers saw a task run twice at the same time, workers over their capacity, and tasks that started again after an end as done had been acknowledged.

Cause: startRefused ended the run on any refusal, although a refusal says only that this one request did nothing. An earlier request without an answer was carried out seconds later, when the unit ran elsewhere or was done.

The leader counts the start requests without an answer. A refused run ends at once only if there are none, as before; otherwise it is stopped, and keeps its resources and its unit until the worker has confirmed the stop and a newer report lacks the run.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -113,7 +113,7 @@
 		return true
 	case errors.As(err, &refused):
 		l.Logger.Info("worker refused start", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
-		l.startRefused(w, n, refused.Reason, try)
+		l.startRefused(w, n, refused.Reason)
 		return true
 	case l.ctx.Err() != nil:
 		return true
@@ -125,29 +125,26 @@
 	return false
 }
 
-// startRefused handles a refused start request. It ends the run, which
-// certainly did not start, unless the refusal says otherwise. The caller holds
-// l.mu.
-func (l *Leader) startRefused(w *worker, n *run, reason Refusal, try int) {
+// startRefused handles a refused start request. It ends the run if that certainly
+// did not start, and stops its unit if an earlier request may still start it. The
+// caller holds l.mu.
+func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
 	case RefusedStaleEpoch:
 		return // this leader learns of the newer epoch from the log
 	case RefusedStaleRun:
 		w.wakeSession() // the next report says how the run ended
-		return
 	case RefusedUnhealthy, RefusedIncarnation:
 		w.unhealthyAt = time.Now()
 	}
-	if n.endProposed {
-		return
-	}
-	if reason == RefusedIncarnation && try > 1 {
-		// The first attempt may have reached the earlier incarnation.
-		go l.Feed.Propose(l.Epoch, l.endLost(w, []*run{n}, lossRestarted, time.Now())...)
-		return
+	switch {
+	case n.endProposed || n.settled():
+	case n.neverStarted():
+		r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
+		go l.Feed.Propose(l.Epoch, r)
+	default:
+		l.stopUnit(n.unit, "refused, but an earlier request was not answered")
 	}
-	r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
-	go l.Feed.Propose(l.Epoch, r)
 }
 
 // abandonStart gives up a start whose request was not answered in time. The
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -186,3 +186,63 @@
 		})
 	}
 }
+
+// Guards against a run that starts again elsewhere while a start request without an answer may still be carried out.
+func TestRefusedAfterUnansweredStart(t *testing.T) {
+	for _, reason := range []Refusal{RefusedUnhealthy, RefusedCapacity, RefusedLeaseEnded, RefusedInvalid, RefusedTicket, RefusedIncarnation} {
+		t.Run(string(reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var starts, stops atomic.Int32
+				var stoppable atomic.Bool
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						if starts.Add(1) == 1 {
+							return errRefusedConn
+						}
+						return &RefusedError{reason}
+					},
+					Stop: func(context.Context, Target, StopRequest) error {
+						stops.Add(1)
+						if !stoppable.Load() {
+							return &RefusedError{RefusedUnhealthy}
+						}
+						return nil
+					},
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) { return Report{Incarnation: 1}, nil },
+				})
+				defer s.cancel()
+				sibling := &run{key: runKey{TaskID{Job: "a", Index: 1}, 1}, unit: s.run.unit, member: 1}
+				s.leader.mu.Lock()
+				s.leader.addRun(s.worker, sibling)
+				s.leader.mu.Unlock()
+				s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				is.True(sibling.stopping) // its gang cannot be complete
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				is.Equal(starts.Load(), int32(2))
+				is.True(stops.Load() > 0)
+				is.True(!s.ended())
+				stoppable.Store(true)
+				time.Sleep(2 * time.Second)
+				is.True(s.ended())
+			})
+		})
+	}
+}
+
+// Guards against a unit that waits for a stop of a run that certainly has not started.
+func TestRefusedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var stops atomic.Int32
+		s := newStartTest(t, WorkerClient{
+			Start: func(context.Context, Target, StartRequest) error { return &RefusedError{RefusedUnhealthy} },
+			Stop:  func(context.Context, Target, StopRequest) error { stops.Add(1); return nil },
+		})
+		defer s.cancel()
+		s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		is.True(s.ended())
+		is.Equal(stops.Load(), int32(0))
+	})
+}
