Let workers refuse requests in histories

Histories had late and lost requests, but no worker refused one, so a refusal never met a request without an answer. In a third of the histories workers now refuse a share of all requests as unhealthy while they carry others out late. The draws of other faults stay as they are.

--- a/internal/fleet/fleettest/workerfault.go
+++ b/internal/fleet/fleettest/workerfault.go
@@ -87,7 +87,7 @@
 func (ws *Workers) ClearFaults() {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	ws.DelayedRate, ws.LostResponseRate = 0, 0
+	ws.DelayedRate, ws.LostResponseRate, ws.RefusedRate = 0, 0, 0
 	for _, w := range ws.List {
 		clear(w.UnreachableFrom)
 		if w.Down {
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -89,6 +89,7 @@
 	List             map[string]*Worker
 	DelayedRate      float64         // share of requests that take effect 2 s to 10 s later and are not answered
 	LostResponseRate float64         // share of requests that take effect but are not answered
+	RefusedRate      float64         // share of requests that are refused as unhealthy and take no effect
 	FailingJobs      map[string]bool // jobs of which every run fails
 	FailureRate      float64         // share of runs that fail
 	DeadlyJobs       map[string]bool // jobs whose tasks crash each worker that starts them
@@ -166,6 +167,8 @@
 	}
 	var err error
 	switch {
+	case !unanswered && ws.RefusedRate > 0 && ws.Rnd.Float64() < ws.RefusedRate:
+		err = &leader.RefusedError{Reason: leader.RefusedUnhealthy}
 	case late && !unanswered:
 		incarnation := w.incarnation
 		time.AfterFunc(wait, func() {
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -18,8 +18,8 @@
 
 // Guards against combinations of faults that break a promise to callers. The
 // test generates histories of a cluster from seeds. Each has kills, freezes,
-// network partitions, outages, lost and late answers, crashes, failing tasks, tasks
-// that crash workers and cancellations. To check more histories by hand, run:
+// network partitions, outages, lost, late and refused requests, crashes, failing
+// tasks, tasks that crash workers and cancellations. To check more histories by hand, run:
 //
 //	go test ./internal/fleet/instance -run TestHistories -histories 10000
 func TestHistories(t *testing.T) {
@@ -43,6 +43,7 @@
 		time.Sleep(time.Duration(h.rnd.IntN(2000)) * time.Millisecond)
 		h.scheduleFaults()
 		h.drawDeadlyJob(rand.New(rand.NewPCG(seed, 5)))
+		h.drawRefusals(rand.New(rand.NewPCG(seed, 6)))
 		h.load()
 		h.heal()
 		violations = h.checkEnd()
@@ -187,6 +188,25 @@
 	})
 }
 
+// drawRefusals lets workers refuse some requests and carry others out late, at the
+// same time, in a third of the histories.
+func (h *history) drawRefusals(rnd *rand.Rand) {
+	if rnd.IntN(3) > 0 {
+		return
+	}
+	h.c.workers.WithLock(func() { h.c.rules.NoDisruption = false })
+	for range 1 + rnd.IntN(3) {
+		at := time.Duration(rnd.Int64N(int64(faultWindow)))
+		span := time.Second + time.Duration(rnd.Int64N(int64(8*time.Second)))
+		refused, delayed := 0.05+0.4*rnd.Float64(), 0.2*rnd.Float64()
+		h.during(at, span, func(on bool) {
+			h.c.workers.WithLock(func() {
+				h.c.workers.RefusedRate, h.c.workers.DelayedRate = refused*oneIf(on), delayed*oneIf(on)
+			})
+		})
+	}
+}
+
 // replace announces that a worker leaves and removes it after the notice. A
 // replacement is added 4 s after that.
 func (h *history) replace(id string, notice time.Duration) {
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -63,6 +63,28 @@
 	is.Equal(r.Violations, nil)
 }
 
+// Guards against tasks of a cancelled job that go on because a worker refused a
+// request to stop them.
+func TestCancelWhileStopsAreRefused(t *testing.T) {
+	is := is.New(t)
+	r := runCluster(t, 1, 3, 4, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 16, GPU: 1, Estimate: 60000})))
+		time.Sleep(time.Second)
+		c.workers.WithLock(func() { c.workers.RefusedRate = 0.4 })
+		is.Equal(c.cancel(c.nodes[1], "a"), "accepted")
+		time.Sleep(2 * time.Second)
+		c.workers.WithLock(func() { c.workers.RefusedRate = 0 })
+		time.Sleep(1500 * time.Millisecond)
+		c.workers.WithLock(func() {
+			for _, w := range c.workers.List {
+				is.Equal(w.Running(), 0)
+			}
+		})
+	})
+	is.Equal(r.Violations, nil)
+}
+
 // Guards against a new leader that starts running tasks again, or lets their
 // leases expire, instead of taking them over.
 func TestTakeover(t *testing.T) {
