--- /dev/null
+++ b/internal/fleet/leader/report.go
@@ -0,0 +1,134 @@
+package leader
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// applyReport updates the leader's view of the worker from its report. It
+// proposes the ends of runs and stops orphan runs. sent is when the report was
+// requested, and acked the last end that the request acknowledged.
+func (l *Leader) applyReport(w *worker, rep Report, sent time.Time, acked uint64) {
+	l.mu.Lock()
+	var records []ledger.Record
+	now := time.Now()
+	if w.contacted && w.incarnation != rep.Incarnation {
+		l.Logger.Info("worker restarted", zap.String("worker", w.id), zap.Int64("born", rep.Incarnation), zap.Int("runs", len(w.runs)))
+		w.ends = nil
+		w.lastEndSeq = 0
+		clear(w.orphans)
+	}
+	restarted := w.contacted && w.incarnation != rep.Incarnation
+	w.incarnation = rep.Incarnation
+	if !w.contacted {
+		w.contacted = true
+		// From now on the worker refuses renewals by earlier leaders.
+		w.leasesEnd = now.Add(maxLeaseTime(l.Bounds.Lease))
+		l.wakePlanner()
+	}
+	w.unresponsive = false
+	w.clockMs, w.clockAt, w.lastAnswer = rep.ClockMs, now, now
+	if sent.After(w.reportSentAt) {
+		w.reportSentAt = sent
+	}
+	w.dropAcknowledged(acked)
+	present := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
+	orphans := make(map[runKey]bool)
+	for _, t := range rep.Running {
+		key := runKey{t.Task, t.Run}
+		present[key] = true
+		if n := w.runs[key]; n != nil {
+			n.updateFromReport(t)
+		} else {
+			orphans[key] = true
+		}
+	}
+	for _, t := range rep.Ended {
+		key := runKey{t.Task, t.Run}
+		present[key] = true
+		if t.Seq > w.lastEndSeq {
+			w.lastEndSeq = t.Seq
+			records = append(records, l.recordEnd(w, t, now)...)
+		}
+	}
+	var missing, crashed []*run
+	for _, n := range w.unendedRuns() {
+		if present[n.key] || !n.absent(sent) {
+			continue
+		}
+		if restarted || n.incarnation != 0 && n.incarnation != rep.Incarnation {
+			crashed = append(crashed, n)
+			continue
+		}
+		missing = append(missing, n)
+	}
+	records = append(records, l.endLost(w, missing, lossMissing, now)...)
+	records = append(records, l.endLost(w, crashed, lossRestarted, now)...)
+	stops := w.updateOrphans(orphans, now)
+	l.mu.Unlock()
+	l.Feed.Propose(l.Epoch, records...)
+	for _, key := range stops {
+		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", key.task.Job), zap.Int("step", key.task.Step), zap.Int("index", key.task.Index), zap.Int("run", key.run))
+		go l.stopOrphan(w, key)
+	}
+}
+
+// updateFromReport updates the run from the worker's report.
+func (n *run) updateFromReport(t RunningTask) {
+	n.settle()
+	n.reported = true
+	n.progress.add(t.Percent, time.Now())
+	if t.Checkpoint != "" {
+		n.checkpoint = t.Checkpoint
+	}
+}
+
+// recordEnd notes a reported end and returns the record that stores it, if there
+// is none yet. The caller holds l.mu.
+func (l *Leader) recordEnd(w *worker, t EndedTask, now time.Time) []ledger.Record {
+	key := runKey{t.Task, t.Run}
+	n := w.runs[key]
+	if n == nil || n.endProposed {
+		w.ends = append(w.ends, reportedEnd{t.Seq, key, n == nil})
+		return nil
+	}
+	w.ends = append(w.ends, reportedEnd{t.Seq, key, false})
+	if t.Outcome != ledger.Done && t.Outcome != ledger.Stopped {
+		l.Logger.Info("run ended", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", key.run), zap.Int("member", n.member), zap.String("how", string(t.Outcome)))
+	}
+	checkpoint := t.Checkpoint
+	if checkpoint == "" {
+		checkpoint = n.checkpoint
+	}
+	return []ledger.Record{l.endRun(n, t.Outcome, checkpoint, now)}
+}
+
+// endRun marks the run as ending and returns the record of its end, which the
+// caller proposes. The caller holds l.mu.
+func (l *Leader) endRun(n *run, outcome ledger.RunOutcome, checkpoint string, now time.Time) ledger.Record {
+	n.endProposed = true
+	return ledger.Record{End: &ledger.End{
+		Epoch: l.Epoch, Unit: n.unit, Run: n.key.run, Member: n.member, Outcome: outcome, Checkpoint: checkpoint, At: now.UnixMilli(),
+	}}
+}
+
+// updateOrphans replaces the worker's orphan runs by the reported ones and
+// returns those for which a stop request is due.
+func (w *worker) updateOrphans(reported map[runKey]bool, now time.Time) []runKey {
+	for key := range w.orphans {
+		if !reported[key] {
+			delete(w.orphans, key)
+		}
+	}
+	var due []runKey
+	for key := range reported {
+		if last, ok := w.orphans[key]; !ok || now.Sub(last) > orphanStopInterval {
+			w.orphans[key] = now
+			due = append(due, key)
+		}
+	}
+	return due
+}
