Confirm a stop on the next incarnation while a start may still reach it

Requests name the worker, not its incarnation. A run that was accepted on a later try and lost in a restart ended at once, and its unit started elsewhere, while the first request could still be carried out by the new incarnation. The same held for a run that only the earlier incarnation had confirmed to stop.

What an answer or report settles now holds for one incarnation. If a start request is without an answer, the run is stopped on the new incarnation first, and ends with the first report after that. Runs whose requests were all answered end at once, as before.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -83,7 +83,7 @@
 		}
 		return false, pause
 	}
-	t := l.target(w)
+	t, incarnation := l.target(w), w.incarnation
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 	n.openStarts++
 	delete(l.unsentStarts, n)
@@ -95,16 +95,16 @@
 	if try > 1 {
 		pause = startRetryInterval - time.Since(sent)
 	}
-	return l.recordStartAnswer(w, n, try, err), pause
+	return l.recordStartAnswer(w, n, try, incarnation, err), pause
 }
 
-// recordStartAnswer records a worker's answer to a start request and reports
-// whether the request is settled.
-func (l *Leader) recordStartAnswer(w *worker, n *run, try int, err error) bool {
+// recordStartAnswer records the answer of an incarnation of a worker to a start
+// request and reports whether the request is settled.
+func (l *Leader) recordStartAnswer(w *worker, n *run, try int, incarnation int64, err error) bool {
 	var refused *RefusedError
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n.recordAnswer(settledBy(err))
+	n.recordAnswer(settledBy(err), incarnation)
 	switch {
 	case err == nil:
 		n.accepted = true
@@ -180,24 +180,23 @@
 func (l *Leader) deliverStop(w *worker, n *run) {
 	for pause := minStopPause; l.ctx.Err() == nil; pause = min(2*pause, maxStopPause) {
 		l.mu.Lock()
-		t, step := l.target(w), n.nextStopStep(w)
+		step := n.nextStopStep(w)
 		l.mu.Unlock()
 		if step == stopDone {
 			return
 		}
-		if t.Addr != "" && l.takeStopStep(w, n, t, step) {
-			continue
+		if !l.takeStopStep(w, n, step) {
+			delay.For(l.ctx, pause)
 		}
-		delay.For(l.ctx, pause)
 	}
 }
 
 // takeStopStep takes one step to stop a run and reports whether the next one is
 // due at once.
-func (l *Leader) takeStopStep(w *worker, n *run, t Target, step stopStep) bool {
+func (l *Leader) takeStopStep(w *worker, n *run, step stopStep) bool {
 	switch step {
 	case stopRequest:
-		return l.tryStop(w, n, t)
+		return l.tryStop(w, n)
 	case stopReport:
 		l.requestReport(w)
 	}
@@ -206,7 +205,10 @@
 
 // tryStop sends a stop request once and reports whether the worker refuses the
 // run from now on.
-func (l *Leader) tryStop(w *worker, n *run, t Target) bool {
+func (l *Leader) tryStop(w *worker, n *run) bool {
+	l.mu.Lock()
+	t, incarnation := l.target(w), w.incarnation
+	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
 	defer cancel()
 	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
@@ -215,8 +217,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n.stoppedAt = time.Now()
-	n.settle()
+	n.stoppedAt, n.stoppedOn = time.Now(), incarnation
+	n.settle(incarnation)
 	return true
 }
 
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -66,12 +66,14 @@
 	openStarts   int       // start requests of this epoch without an answer; each may still be carried out
 	unansweredAt time.Time // end of the newest attempt to start it that had no answer
 	accepted     bool      // the worker answered that it started the run
-	settledAt    time.Time // when the worker was known to have the run, to have had it or to refuse it; zero while unknown
+	settledAt    time.Time // when an incarnation was known to have the run, to have had it or to refuse it; zero while unknown
+	settledOn    int64     // this incarnation
 	reported     bool      // the worker has reported it as running
 	checkpoint   string
 	progress     progressSample
 	stopping     bool
-	stoppedAt    time.Time // when the worker had carried out a stop request
+	stoppedAt    time.Time // when an incarnation had carried out a stop request
+	stoppedOn    int64     // this incarnation
 	removed      bool      // no longer among the runs of its worker
 	endProposed  bool      // a record of its end has been proposed
 }
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -36,36 +36,43 @@
 	return settlesRequest
 }
 
-// recordAnswer notes what the result of a request to start the run settles.
-func (n *run) recordAnswer(s settlement) {
+// recordAnswer notes what the answer of an incarnation to a request to start the
+// run settles.
+func (n *run) recordAnswer(s settlement, incarnation int64) {
 	if s != settlesNothing {
 		n.openStarts--
 	}
 	if s == settlesRun {
-		n.settle()
+		n.settle(incarnation)
 	}
 }
 
-// settle notes that the worker has the run, had it, or refuses it from now on.
-func (n *run) settle() {
-	if !n.settled() {
-		n.settledAt = time.Now()
+// settle notes that an incarnation of the worker has the run, had it, or refuses
+// it from now on.
+func (n *run) settle(incarnation int64) {
+	if !n.settled() || n.settledOn != incarnation {
+		n.settledAt, n.settledOn = time.Now(), incarnation
 	}
 }
 
-// settled reports whether the worker is known to have the run, to have had it, or
-// to refuse it.
+// settled reports whether an incarnation of the worker is known to have the run,
+// to have had it, or to refuse it.
 func (n *run) settled() bool { return !n.settledAt.IsZero() }
 
+// settledBefore reports whether the run was settled when a report was requested.
+// An earlier report may be older than the run.
+func (n *run) settledBefore(requested time.Time) bool {
+	return n.settled() && !requested.Before(n.settledAt)
+}
+
 // neverStarted reports whether the run certainly has not started and will not
 // start unless another request is sent.
 func (n *run) neverStarted() bool { return n.openStarts == 0 && !n.settled() }
 
-// absent reports whether a report that lacks the run proves that the run is not
-// on the worker and will not start there. A report that was requested earlier than
-// the run was settled may be older than the run.
-func (n *run) absent(requested time.Time) bool {
-	return n.settled() && !requested.Before(n.settledAt)
+// mayStartOn reports whether a start request without an answer may still reach an
+// incarnation for which the run is not settled. Requests name the worker only.
+func (n *run) mayStartOn(incarnation int64) bool {
+	return n.openStarts > 0 && n.settledOn != incarnation
 }
 
 // stopStep is a step to stop a run.
@@ -75,7 +82,7 @@
 	stopDone    stopStep = iota // the run has ended
 	stopRequest                 // the worker has to be asked to stop the run
 	stopReport                  // a report has to show what has become of the run
-	stopWait                    // the worker has stopped the run and will report its end
+	stopWait                    // the worker will report the end, or has no address
 )
 
 // nextStopStep returns the next step to stop the run. The caller holds the lock
@@ -84,7 +91,9 @@
 	switch {
 	case n.endProposed || n.removed:
 		return stopDone
-	case n.stoppedAt.IsZero():
+	case w.entry.Addr == "":
+		return stopWait
+	case n.stoppedAt.IsZero() || n.stoppedOn != w.incarnation:
 		return stopRequest
 	case !n.settledAt.Before(n.stoppedAt) && !w.reportSentAt.After(n.settledAt):
 		return stopReport
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -41,7 +41,7 @@
 		key := runKey{t.Task, t.Run}
 		present[key] = true
 		if n := w.runs[key]; n != nil {
-			n.updateFromReport(t)
+			n.updateFromReport(t, rep.Incarnation)
 		} else {
 			orphans[key] = true
 		}
@@ -54,19 +54,7 @@
 			records = append(records, l.recordEnd(w, t, now)...)
 		}
 	}
-	var missing, crashed []*run
-	for _, n := range w.unendedRuns() {
-		if present[n.key] || !n.absent(sent) {
-			continue
-		}
-		if restarted || n.incarnation != 0 && n.incarnation != rep.Incarnation {
-			crashed = append(crashed, n)
-			continue
-		}
-		missing = append(missing, n)
-	}
-	records = append(records, l.endLost(w, missing, lossMissing, now)...)
-	records = append(records, l.endLost(w, crashed, lossRestarted, now)...)
+	records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
 	stops := w.updateOrphans(orphans, now)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
@@ -76,9 +64,28 @@
 	}
 }
 
-// updateFromReport updates the run from the worker's report.
-func (n *run) updateFromReport(t RunningTask) {
-	n.settle()
+// endAbsent returns records of the ends of the runs that the worker's newest
+// report proves to be lost, and stops those that may still start on the worker's
+// new incarnation. present has the reported runs. The caller holds l.mu.
+func (l *Leader) endAbsent(w *worker, present map[runKey]bool, restarted bool, sent, now time.Time) []ledger.Record {
+	var missing, crashed []*run
+	for _, n := range w.unendedRuns() {
+		switch {
+		case present[n.key] || !n.settledBefore(sent):
+		case n.mayStartOn(w.incarnation):
+			l.stopRun(w, n, "worker restarted")
+		case restarted || n.incarnation != 0 && n.incarnation != w.incarnation:
+			crashed = append(crashed, n)
+		default:
+			missing = append(missing, n)
+		}
+	}
+	return append(l.endLost(w, missing, lossMissing, now), l.endLost(w, crashed, lossRestarted, now)...)
+}
+
+// updateFromReport updates the run from the report of an incarnation of the worker.
+func (n *run) updateFromReport(t RunningTask, incarnation int64) {
+	n.settle(incarnation)
 	n.reported = true
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
