Decide at a restart which of the lost runs are blamed for it

Runs that a restart ends later, because a start request may still reach the new incarnation, are left out of the comparison of fresh and reported runs. Then a task that ran beside the cause counts as a suspect of the crash.

TestCrashBlame fails if the runs that end later are left out, and passes.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -72,10 +72,11 @@
 	checkpoint   string
 	progress     progressSample
 	stopping     bool
-	stoppedAt    time.Time // when an incarnation had carried out a stop request
-	stoppedOn    int64     // this incarnation
-	removed      bool      // no longer among the runs of its worker
-	endProposed  bool      // a record of its end has been proposed
+	stoppedAt    time.Time         // when an incarnation had carried out a stop request
+	stoppedOn    int64             // this incarnation
+	removed      bool              // no longer among the runs of its worker
+	lossOutcome  ledger.RunOutcome // outcome if it ends as lost; empty while undecided
+	endProposed  bool              // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
 // Guards against blaming a crash on work that only ran beside its cause, and against blaming it on nothing.
@@ -42,3 +44,34 @@
 		})
 	}
 }
+
+// Guards against blaming a crash on a task that ran beside its cause, because the cause is only lost later.
+func TestCrashBlame(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := testLeader()
+	w := newWorker("w", now)
+	l.workers[w.id] = w
+	l.applyReport(w, Report{Incarnation: 1}, now, 0)
+	add := func(job string, n run) *run {
+		n.key, n.worker, n.unit, n.incarnation = runKey{TaskID{Job: job}, 1}, w, ledger.UnitID{Job: job}, 1
+		n.settledAt, n.settledOn, n.accepted = now, 1, true
+		w.runs[n.key] = &n
+		return &n
+	}
+	beside := add("beside", run{reported: true})
+	cause := add("cause", run{openStarts: 1})
+	reported := add("reported", run{openStarts: 1, reported: true})
+	l.applyReport(w, Report{Incarnation: 2}, now.Add(time.Second), 0)
+	is.True(beside.endProposed)
+	is.Equal(beside.lossOutcome, ledger.WorkerLost)
+	is.True(!cause.endProposed)
+	is.True(!reported.endProposed)
+	cause.settle(2) // stopped on the new incarnation
+	reported.settle(2)
+	l.applyReport(w, Report{Incarnation: 2}, time.Now(), 0)
+	is.True(cause.endProposed)
+	is.Equal(cause.lossOutcome, ledger.WorkerCrashed)
+	is.True(reported.endProposed)
+	is.Equal(reported.lossOutcome, ledger.WorkerLost)
+}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,28 +66,32 @@
 }
 
 // endAbsent returns records of the ends of the runs that the worker's newest
-// report proves to be lost, and stops those that may still start on the worker's
-// new incarnation. present has the reported runs. The caller holds l.mu.
+// report proves to be lost, and stops the units of those that may still start on the
+// worker's new incarnation. present has the reported runs. The caller holds l.mu.
 func (l *Leader) endAbsent(w *worker, present map[runKey]bool, restarted bool, sent, now time.Time) []ledger.Record {
-	var missing, crashed []*run
+	var missing, crashed, maybeLate []*run
 	for _, n := range w.unendedRuns() {
 		switch {
 		case present[n.key] || !n.settledBefore(sent):
 		case n.mayStartOn(w.incarnation):
-			l.stopRun(w, n, "worker restarted")
+			maybeLate = append(maybeLate, n)
 		case restarted || n.incarnation != 0 && n.incarnation != w.incarnation:
 			crashed = append(crashed, n)
 		default:
 			missing = append(missing, n)
 		}
 	}
+	decideOutcomes(w, slices.Concat(crashed, maybeLate), lossRestarted)
+	for _, n := range maybeLate {
+		l.stopUnit(n.unit, "worker restarted")
+	}
 	return append(l.endLost(w, missing, lossMissing, now), l.endLost(w, crashed, lossRestarted, now)...)
 }
 
 // updateFromReport updates the run from the report of an incarnation of the worker.
 func (n *run) updateFromReport(t RunningTask, incarnation int64) {
 	n.settle(incarnation)
-	n.reported = true
+	n.reported, n.lossOutcome = true, ""
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
 		n.checkpoint = t.Checkpoint
