Stop orphan runs like all others, and start no unit beside its orphan

An orphan run got one stop request for each report that showed it. If that was refused or lost, the next one followed up to 4 s later, since a worker without runs of its own is synced at the idle pace. Tasks of cancelled jobs ran on meanwhile, and the planner started units of which an orphan run went on.

Orphan runs are now stopped by deliverStop. Their worker is synced like one with runs, without a renewal of leases, and the planner leaves out units with an orphan run until that has ended or its worker is gone.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -240,15 +240,3 @@
 	l.applyReport(w, rep, sent, ack)
 	return true
 }
-
-// stopOrphan sends one stop request for a run that the state does not have.
-func (l *Leader) stopOrphan(w *worker, key runKey) {
-	l.mu.Lock()
-	t := l.target(w)
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
-	defer cancel()
-	if err := l.Client.Stop(ctx, t, StopRequest{key.task, key.run}); err != nil {
-		l.Logger.Info("stopping orphan run failed", zap.String("worker", w.id), zap.String("job", key.task.Job), zap.Error(err))
-	}
-}
--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -76,7 +76,7 @@
 // mayHaveLeft reports whether the worker has runs, does not answer or is not
 // listed, and has been known for long enough to be in the list of machines.
 func (w *worker) mayHaveLeft() bool {
-	return len(w.runs) > 0 && (w.unresponsive || !w.listed) && time.Since(w.knownSince) > machineListDelay
+	return w.busy() && (w.unresponsive || !w.listed) && time.Since(w.knownSince) > machineListDelay
 }
 
 // endDeparted returns records of the ends of the runs on workers that are no
@@ -101,6 +101,7 @@
 		if w.entry.Draining {
 			cause = lossDrained
 		}
+		w.dropOrphans()
 		ends := l.endLost(w, w.unendedRuns(), cause, time.Now())
 		if len(ends) > 0 {
 			l.Logger.Info("worker has left the platform; its runs are lost", zap.String("worker", w.id), zap.Int("runs", len(ends)), zap.Int("machines", len(machines)), zap.Duration("silent", time.Since(w.lastAnswer)))
--- /dev/null
+++ b/internal/fleet/leader/orphan_test.go
@@ -0,0 +1,114 @@
+package leader
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/policy"
+)
+
+// Guards against an orphan run that goes on because a stop request was refused or lost, and against a worker that stays unused once it has ended.
+func TestOrphanIsStopped(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error // of the first stop requests
+	}{
+		{"at once", nil},
+		{"refused", &RefusedError{RefusedUnhealthy}},
+		{"not answered", errRefusedConn},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var stopped atomic.Bool
+				var stops, syncs atomic.Int32
+				s := newStartTest(t, WorkerClient{
+					Stop: func(context.Context, Target, StopRequest) error {
+						if stops.Add(1) <= 2 && tt.err != nil {
+							return tt.err
+						}
+						stopped.Store(true)
+						return nil
+					},
+					Sync: func(_ context.Context, _ Target, req SyncRequest) (Report, error) {
+						syncs.Add(1)
+						time.Sleep(req.MaxWait)
+						if stopped.Load() {
+							return Report{Incarnation: 1}, nil
+						}
+						return Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "b"}, Run: 1}}}, nil
+					},
+				})
+				defer s.cancel()
+				s.worker.listed = true
+				s.leader.mu.Lock()
+				s.leader.removeRun(s.run) // the worker is idle
+				s.leader.mu.Unlock()
+				go s.leader.runSession(s.worker)
+				time.Sleep(3500 * time.Millisecond)
+				synctest.Wait()
+				is.True(stopped.Load())
+				is.True(syncs.Load() < 10)
+				s.leader.mu.Lock()
+				defer s.leader.mu.Unlock()
+				is.Equal(len(s.worker.orphans), 0)
+				is.True(s.worker.usable(time.Now()))
+			})
+		})
+	}
+}
+
+// Guards against a unit that starts while an orphan run of one of its tasks goes on.
+func TestUnitWaitsForOrphan(t *testing.T) {
+	gang := ledger.Job{ID: "a", Steps: []ledger.Step{{Count: 2, Gang: true}}}
+	tasks := ledger.Job{ID: "a", Steps: []ledger.Step{{Count: 2}}}
+	tests := []struct {
+		name   string
+		job    ledger.Job
+		orphan TaskID
+		want   int // units that may start
+	}{
+		{"gang", gang, TaskID{Job: "a", Index: 1}, 0},
+		{"task", tasks, TaskID{Job: "a", Index: 1}, 1},
+		{"unknown job", tasks, TaskID{Job: "b"}, 2},
+		{"unknown step", tasks, TaskID{Job: "a", Step: 1}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := testLeader()
+			l.Policy = &policy.Current{}
+			s := ledger.NewState()
+			s.Apply(ledger.Record{Submit: &tt.job})
+			w := newWorker("w", time.Now())
+			l.workers[w.id] = w
+			w.contacted, w.incarnation = true, 1
+			report := Report{Incarnation: 1, Running: []RunningTask{{Task: tt.orphan, Run: 1}}}
+			l.applyReport(w, report, time.Now(), 0)
+			is.Equal(len(l.planInput(s, &policy.Config{}).Waiting), tt.want)
+		})
+	}
+}
+
+// Guards against a unit that waits for ever for an orphan run on a worker that is gone.
+func TestOrphanOnDepartedWorker(t *testing.T) {
+	is := is.New(t)
+	l := testLeader()
+	w := newWorker("w", time.Now())
+	l.workers[w.id] = w
+	w.contacted, w.incarnation = true, 1
+	l.applyReport(w, Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "b"}, Run: 1}}}, time.Now(), 0)
+	is.Equal(len(w.orphans), 1)
+	w.unresponsive, w.knownSince = true, time.Now().Add(-2*machineListDelay)
+	for range minAbsentLists {
+		l.endDeparted([]Machine{{Worker: "other"}})
+	}
+	is.Equal(len(w.orphans), 0)
+}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -162,6 +163,8 @@
 			l.addWaiting(&in, js, cfg, guaranteed[js.Job.ID])
 		}
 	}
+	orphaned := l.orphanUnits(s)
+	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool { return orphaned[u.ID] })
 	free := make(map[string]*plan.Resources, len(l.workers))
 	for id, w := range l.workers {
 		total := w.entry.Total
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -20,7 +20,7 @@
 		l.Logger.Info("worker restarted", zap.String("worker", w.id), zap.Int64("born", rep.Incarnation), zap.Int("runs", len(w.runs)))
 		w.ends = nil
 		w.lastEndSeq = 0
-		clear(w.orphans)
+		w.dropOrphans()
 	}
 	restarted := w.contacted && w.incarnation != rep.Incarnation
 	w.incarnation = rep.Incarnation
@@ -56,12 +56,12 @@
 		}
 	}
 	records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
-	stops := w.updateOrphans(orphans, now)
+	found := w.updateOrphans(orphans, sent)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
-	for _, key := range stops {
-		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", key.task.Job), zap.Int("step", key.task.Step), zap.Int("index", key.task.Index), zap.Int("run", key.run))
-		go l.stopOrphan(w, key)
+	for _, n := range found {
+		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run))
+		go l.deliverStop(w, n)
 	}
 }
 
@@ -126,21 +126,3 @@
 		Epoch: l.Epoch, Unit: n.unit, Run: n.key.run, Member: n.member, Outcome: outcome, Checkpoint: checkpoint, At: now.UnixMilli(),
 	}}
 }
-
-// updateOrphans replaces the worker's orphan runs by the reported ones and
-// returns those for which a stop request is due.
-func (w *worker) updateOrphans(reported map[runKey]bool, now time.Time) []runKey {
-	for key := range w.orphans {
-		if !reported[key] {
-			delete(w.orphans, key)
-		}
-	}
-	var due []runKey
-	for key := range reported {
-		if last, ok := w.orphans[key]; !ok || now.Sub(last) > orphanStopInterval {
-			w.orphans[key] = now
-			due = append(due, key)
-		}
-	}
-	return due
-}
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -37,10 +37,6 @@
 	// unhealthyPause is how long no new runs are started on a worker that
 	// refused a start as unhealthy or as another incarnation.
 	unhealthyPause = 2 * time.Second
-
-	// orphanStopInterval is the pause between two stop requests for a run that
-	// the state does not have.
-	orphanStopInterval = 500 * time.Millisecond
 )
 
 // runSession syncs with the worker until the epoch ends: it renews the worker's
@@ -64,13 +60,13 @@
 	switch {
 	case w.entry.Addr == "":
 		pause = time.Second
-	case !w.listed && len(w.runs) == 0:
+	case !w.listed && !w.busy():
 		pause = time.Hour
 	case !answered:
 		pause = syncRetryDelay
 	case w.hasUnstoredEnds():
 		pause = maxStoreWait
-	case w.contacted && len(w.runs) == 0 && len(w.ends) == 0:
+	case w.contacted && !w.busy() && len(w.ends) == 0:
 		pause = idleSyncInterval - time.Since(w.lastAnswer)
 	}
 	hasAddr := w.entry.Addr != ""
@@ -104,8 +100,8 @@
 	l.mu.Lock()
 	t := l.target(w)
 	req := SyncRequest{Ack: w.safeAck(time.Now())}
-	if w.contacted && answered && len(w.runs) > 0 {
-		if mayRenew {
+	if w.contacted && answered && w.busy() {
+		if mayRenew && len(w.runs) > 0 {
 			req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 		}
 		if !w.hasUnstoredEnds() {
@@ -163,9 +159,10 @@
 	if gone := l.startedAt.Add(maxLeaseTime(l.Bounds.Lease)); !w.contacted && !w.listed && leasesEnd.After(gone) {
 		leasesEnd = gone // the platform does not list it any more
 	}
-	if len(w.runs) == 0 || now.Before(leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
+	if !w.busy() || now.Before(leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
 		return
 	}
+	w.dropOrphans()
 	records := l.endLost(w, w.unendedRuns(), lossUnreachable, now)
 	if len(records) == 0 {
 		return
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -62,7 +62,7 @@
 	slowAt       time.Time // when a run on it was last found slow
 
 	runs       map[runKey]*run
-	orphans    map[runKey]time.Time // runs that the state does not have, with the time of the last stop request
+	orphans    map[runKey]*run      // runs that the state does not have
 	ends       []reportedEnd        // reported ends that are not acknowledged yet, by seq
 	lastEndSeq uint64               // highest seq reported
 	failedJobs map[string]time.Time // jobs with failed runs on it, with the time of the last failure
@@ -84,7 +84,7 @@
 		leasesEnd:  leasesEnd,
 		knownSince: time.Now(),
 		runs:       make(map[runKey]*run),
-		orphans:    make(map[runKey]time.Time),
+		orphans:    make(map[runKey]*run),
 		failedJobs: make(map[string]time.Time),
 		wake:       make(chan struct{}, 1),
 	}
@@ -99,6 +99,9 @@
 	return changed
 }
 
+// busy reports whether runs are, or may be, on the worker.
+func (w *worker) busy() bool { return len(w.runs) > 0 || len(w.orphans) > 0 }
+
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 &&
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -116,7 +116,7 @@
 		{"draining", func(w *worker) { w.entry.Draining = true }, false},
 		{"refused just now", func(w *worker) { w.unhealthyAt = now }, false},
 		{"another incarnation is listed", func(w *worker) { w.entry.Incarnation = 2 }, false},
-		{"runs what is not in the state", func(w *worker) { w.orphans[runKey{}] = now }, false},
+		{"runs what is not in the state", func(w *worker) { w.orphans[runKey{}] = &run{} }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
