Ignore a report of an earlier incarnation that arrives late

Reports may overtake each other. One of an earlier incarnation that arrived after the first one of the next took the leader back to the earlier one and its numbers of ends, so that the next sync could acknowledge ends of the new incarnation that nobody had seen.

Found by reading; no run is known to have shown it. TestReportOfEarlierIncarnation failed before and passes.

--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -14,6 +14,10 @@
 // requested, and acked the last end that the request acknowledged.
 func (l *Leader) applyReport(w *worker, rep Report, sent time.Time, acked uint64) {
 	l.mu.Lock()
+	if w.contacted && w.incarnation != rep.Incarnation && sent.Before(w.reportSentAt) {
+		l.mu.Unlock()
+		return // of an earlier incarnation; its ends are numbered differently
+	}
 	var records []ledger.Record
 	now := time.Now()
 	if w.contacted && w.incarnation != rep.Incarnation {
--- /dev/null
+++ b/internal/fleet/leader/report_test.go
@@ -0,0 +1,27 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// Guards against acknowledging unseen ends because an old report arrives after the first one of the next incarnation.
+func TestReportOfEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := testLeader()
+	w := newWorker("w", now)
+	old := Report{Incarnation: 1}
+	for i := range 5 {
+		old.Ended = append(old.Ended, EndedTask{Seq: uint64(i + 1), Task: TaskID{Job: "a", Index: i}, Run: 1, Outcome: ledger.Done})
+	}
+	l.applyReport(w, Report{Incarnation: 1}, now.Add(-3*time.Second), 0)
+	l.applyReport(w, Report{Incarnation: 2}, now.Add(-time.Second), 0)
+	l.applyReport(w, old, now.Add(-2*time.Second), 0)
+	is.Equal(w.incarnation, int64(2))
+	is.Equal(w.safeAck(time.Now()), uint64(0))
+}
