Take no run for lost if a report may lack its end

A worker reports at most 500 ends at a time. A run whose end is not among them is in neither list, and counted as lost although it may be done.

Found by reading; no run is known to have shown it. TestReportOfManyEnds failed before and passes. The workers of the tests have the limit too.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -249,7 +249,7 @@
 			if o.LeaseEnd > 0 {
 				w.leaseEnd = max(w.leaseEnd, min(o.LeaseEnd, w.clockMs()+MaxLease.Milliseconds()))
 			}
-			report = leader.Report{ClockMs: w.clockMs(), Incarnation: w.incarnation, Ended: append([]leader.EndedTask(nil), w.ended...)}
+			report = leader.Report{ClockMs: w.clockMs(), Incarnation: w.incarnation, Ended: slices.Clone(w.ended[:min(len(w.ended), leader.MaxReportedEnds)])}
 			for _, r := range w.runs {
 				report.Running = append(report.Running, leader.RunningTask{Task: r.task, Run: r.run})
 			}
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -72,6 +72,10 @@
 	MaxWait  time.Duration // how long the worker may delay its answer until a run ends
 }
 
+// MaxReportedEnds is the largest number of ends in one report. Later ends are
+// reported once these are acknowledged.
+const MaxReportedEnds = 500
+
 // Report is a worker's answer to a sync.
 type Report struct {
 	ClockMs     int64 // ms on the worker's clock
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -59,7 +59,9 @@
 			records = append(records, l.recordEnd(w, t, now)...)
 		}
 	}
-	records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
+	if len(rep.Ended) < MaxReportedEnds { // otherwise further runs may have ended
+		records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
+	}
 	found := w.updateOrphans(orphans, sent)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
--- a/internal/fleet/leader/report_test.go
+++ b/internal/fleet/leader/report_test.go
@@ -25,3 +25,24 @@
 	is.Equal(w.incarnation, int64(2))
 	is.Equal(w.safeAck(time.Now()), uint64(0))
 }
+
+// Guards against taking a run for lost whose end does not fit into the report.
+func TestReportOfManyEnds(t *testing.T) {
+	for _, tt := range []struct {
+		ends int
+		lost bool
+	}{{MaxReportedEnds - 1, true}, {MaxReportedEnds, false}} {
+		is := is.New(t)
+		now := time.Now()
+		l := testLeader()
+		w := newWorker("w", now)
+		n := &run{key: runKey{TaskID{Job: "b"}, 1}, unit: ledger.UnitID{Job: "b"}, worker: w, settledAt: now.Add(-time.Second)}
+		w.runs[n.key] = n
+		report := Report{Incarnation: 1}
+		for i := range tt.ends {
+			report.Ended = append(report.Ended, EndedTask{Seq: uint64(i + 1), Task: TaskID{Job: "a", Index: i}, Run: 1, Outcome: ledger.Done})
+		}
+		l.applyReport(w, report, now, 0)
+		is.Equal(n.endProposed, tt.lost) // tt.ends
+	}
+}
