Stop ended runs on an incarnation that a late request may start them on

A run ended in any way while a start request was without an answer, and its worker restarted: the new incarnation may carry the request out, though the task is done, runs elsewhere or was cancelled.

On a restart they are treated as orphan runs: stopped at once, and their units wait for it.

TestLateStartOfEndedRun failed before and passes.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -85,7 +85,7 @@
 	}
 	t, incarnation := l.target(w), w.incarnation
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
-	n.openStarts++
+	n.openStarts, n.startSentAt = n.openStarts+1, time.Now()
 	delete(l.unsentStarts, n)
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -64,6 +64,7 @@
 	incarnation  int64 // of the worker for which it was decided; 0 is unknown
 	startedAt    time.Time
 	openStarts   int       // start requests of this epoch without an answer; each may still be carried out
+	startSentAt  time.Time // when the newest start request was sent
 	unansweredAt time.Time // end of the newest attempt to start it that had no answer
 	accepted     bool      // the worker answered that it started the run
 	settledAt    time.Time // when an incarnation was known to have the run, to have had it or to refuse it; zero while unknown
@@ -146,6 +147,7 @@
 // removeRun removes a run from its worker. The caller holds l.mu.
 func (l *Leader) removeRun(n *run) {
 	n.removed = true
+	n.worker.keepLate(n)
 	delete(n.worker.runs, n.key)
 	delete(l.unsentStarts, n)
 	rest := slices.DeleteFunc(l.unitRuns[n.unit], func(o *run) bool { return o == n })
--- a/internal/fleet/leader/orphan_test.go
+++ b/internal/fleet/leader/orphan_test.go
@@ -112,3 +112,54 @@
 	}
 	is.Equal(len(w.orphans), 0)
 }
+
+// Guards against a task that is done and starts again on the worker's next incarnation by a request that had no answer.
+func TestLateStartOfEndedRun(t *testing.T) {
+	tests := []struct {
+		name       string
+		unanswered bool
+		after      time.Duration // from the request to the restart
+		want       int           // stop requests
+	}{
+		{"answered", false, 0, 0},
+		{"not answered", true, 3 * time.Second, 1},
+		{"not answered long ago", true, maxRequestDelay, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var stopped atomic.Int32
+				var restarted atomic.Bool
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						if tt.unanswered {
+							return errRefusedConn
+						}
+						return nil
+					},
+					Stop: func(context.Context, Target, StopRequest) error { stopped.Add(1); return nil },
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) {
+						if restarted.Load() {
+							return Report{Incarnation: 2}, nil
+						}
+						return Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "a"}, Run: 1}}}, nil
+					},
+				})
+				defer s.cancel()
+				s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				s.leader.mu.Lock()
+				s.leader.removeRun(s.run) // its end is stored
+				s.leader.mu.Unlock()
+				time.Sleep(tt.after)
+				restarted.Store(true)
+				s.leader.requestReport(s.worker)
+				synctest.Wait()
+				is.Equal(int(stopped.Load()), tt.want)
+				s.leader.mu.Lock()
+				defer s.leader.mu.Unlock()
+				is.Equal(len(s.worker.orphans), 0)
+			})
+		})
+	}
+}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -20,25 +20,12 @@
 	}
 	var records []ledger.Record
 	now := time.Now()
-	if w.contacted && w.incarnation != rep.Incarnation {
-		l.Logger.Info("worker restarted", zap.String("worker", w.id), zap.Int64("born", rep.Incarnation), zap.Int("runs", len(w.runs)))
-		w.ends = nil
-		w.lastEndSeq = 0
-		w.dropOrphans()
-	}
 	restarted := w.contacted && w.incarnation != rep.Incarnation
-	w.incarnation = rep.Incarnation
-	if !w.contacted {
-		w.contacted = true
-		// From now on the worker refuses renewals by earlier leaders.
-		w.leasesEnd = now.Add(maxLeaseTime(l.Bounds.Lease))
-		l.wakePlanner()
-	}
-	w.unresponsive = false
-	w.clockMs, w.clockAt, w.lastAnswer = rep.ClockMs, now, now
-	if sent.After(w.reportSentAt) {
-		w.reportSentAt = sent
+	var stops []*run
+	if restarted {
+		stops = l.recordRestart(w, rep.Incarnation)
 	}
+	l.recordContact(w, rep, sent, now)
 	w.dropAcknowledged(acked)
 	present := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
 	orphans := make(map[runKey]bool)
@@ -62,15 +49,42 @@
 	if len(rep.Ended) < MaxReportedEnds { // otherwise further runs may have ended
 		records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
 	}
-	found := w.updateOrphans(orphans, sent)
+	stops = append(stops, w.updateOrphans(orphans, sent)...)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
-	for _, n := range found {
+	for _, n := range stops {
 		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run))
 		go l.deliverStop(w, n)
 	}
 }
 
+// recordRestart updates the worker for a new incarnation and returns the orphan
+// runs that may start on it. The caller holds l.mu.
+func (l *Leader) recordRestart(w *worker, incarnation int64) []*run {
+	l.Logger.Info("worker restarted", zap.String("worker", w.id), zap.Int64("born", incarnation), zap.Int("runs", len(w.runs)))
+	w.ends = nil
+	w.lastEndSeq = 0
+	w.dropOrphans()
+	return w.addLateOrphans()
+}
+
+// recordContact updates the worker from the figures of a report that was requested
+// at the given time. The caller holds l.mu.
+func (l *Leader) recordContact(w *worker, rep Report, sent, now time.Time) {
+	w.incarnation = rep.Incarnation
+	if !w.contacted {
+		w.contacted = true
+		// From now on the worker refuses renewals by earlier leaders.
+		w.leasesEnd = now.Add(maxLeaseTime(l.Bounds.Lease))
+		l.wakePlanner()
+	}
+	w.unresponsive = false
+	w.clockMs, w.clockAt, w.lastAnswer = rep.ClockMs, now, now
+	if sent.After(w.reportSentAt) {
+		w.reportSentAt = sent
+	}
+}
+
 // endAbsent returns records of the ends of the runs that the worker's newest
 // report proves to be lost, and stops the units of those that may still start on the
 // worker's new incarnation. present has the reported runs. The caller holds l.mu.
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -63,6 +63,7 @@
 
 	runs       map[runKey]*run
 	orphans    map[runKey]*run      // runs that the state does not have
+	late       []*run               // removed runs that a request may still start
 	ends       []reportedEnd        // reported ends that are not acknowledged yet, by seq
 	lastEndSeq uint64               // highest seq reported
 	failedJobs map[string]time.Time // jobs with failed runs on it, with the time of the last failure
