--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -57,27 +57,21 @@
 
 // run is the leader's view of a run that is, or may be, on a worker.
 type run struct {
-	key          runKey
-	worker       *worker
-	unit         ledger.UnitID
-	member       int
-	incarnation  int64 // of the worker for which it was decided; 0 is unknown
-	startedAt    time.Time
-	openStarts   int       // start requests of this epoch without an answer; each may still be carried out
-	startSentAt  time.Time // when the newest start request was sent
-	unansweredAt time.Time // end of the newest attempt to start it that had no answer
-	accepted     bool      // the worker answered that it started the run
-	settledAt    time.Time // when an incarnation was known to have the run, to have had it or to refuse it; zero while unknown
-	settledOn    int64     // this incarnation
-	reported     bool      // the worker has reported it as running
-	checkpoint   string
-	progress     progressSample
-	stopping     bool
-	stoppedAt    time.Time         // when an incarnation had carried out a stop request
-	stoppedOn    int64             // this incarnation
-	removed      bool              // no longer among the runs of its worker
-	lossOutcome  ledger.RunOutcome // outcome if it ends as lost; empty while undecided
-	endProposed  bool              // a record of its end has been proposed
+	proof
+	key         runKey
+	worker      *worker
+	unit        ledger.UnitID
+	member      int
+	incarnation int64 // of the worker for which it was decided; 0 is unknown
+	startedAt   time.Time
+	accepted    bool // the worker answered that it started the run
+	reported    bool // the worker has reported it as running
+	checkpoint  string
+	progress    progressSample
+	stopping    bool
+	removed     bool              // no longer among the runs of its worker
+	lossOutcome ledger.RunOutcome // outcome if it ends as lost; empty while undecided
+	endProposed bool              // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -12,9 +12,9 @@
 // Guards against blaming a crash on work that only ran beside its cause, and against blaming it on nothing.
 func TestCrashSuspects(t *testing.T) {
 	unsent := &run{}
-	unanswered := &run{openStarts: 1}
-	accepted := &run{settledAt: time.Now(), accepted: true}
-	reported := &run{settledAt: time.Now(), accepted: true, reported: true}
+	unanswered := &run{proof: proof{openStarts: 1}}
+	accepted := &run{proof: proof{settledAt: time.Now()}, accepted: true}
+	reported := &run{proof: proof{settledAt: time.Now()}, accepted: true, reported: true}
 	tests := []struct {
 		name   string
 		listed bool
@@ -60,8 +60,8 @@
 		return &n
 	}
 	beside := add("beside", run{reported: true})
-	cause := add("cause", run{openStarts: 1})
-	reported := add("reported", run{openStarts: 1, reported: true})
+	cause := add("cause", run{proof: proof{openStarts: 1}})
+	reported := add("reported", run{proof: proof{openStarts: 1}, reported: true})
 	l.applyReport(w, Report{Incarnation: 2}, now.Add(time.Second), 0)
 	is.True(beside.endProposed)
 	is.Equal(beside.lossOutcome, ledger.WorkerLost)
--- a/internal/fleet/leader/orphan.go
+++ b/internal/fleet/leader/orphan.go
@@ -54,12 +54,6 @@
 	}
 }
 
-// mayStartLate reports whether a start request without an answer may still reach
-// the worker's next incarnation.
-func (n *run) mayStartLate() bool {
-	return n.openStarts > 0 && time.Since(n.startSentAt) < maxRequestDelay
-}
-
 // addLateOrphans adds and returns orphan runs for the ended runs that may still
 // start on a new incarnation of the worker.
 func (w *worker) addLateOrphans() []*run {
@@ -68,7 +62,7 @@
 		if !n.mayStartLate() {
 			continue
 		}
-		o := &run{key: n.key, worker: w, openStarts: n.openStarts}
+		o := &run{key: n.key, worker: w, proof: proof{openStarts: n.openStarts}}
 		w.orphans[n.key] = o
 		orphans = append(orphans, o)
 	}
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -36,43 +36,61 @@
 	return settlesRequest
 }
 
+// proof is what the requests to start and stop a run, and the worker's answers and
+// reports, prove about it.
+type proof struct {
+	openStarts   int       // start requests of this epoch without an answer; each may still be carried out
+	startSentAt  time.Time // when the newest start request was sent
+	unansweredAt time.Time // end of the newest start request that had no answer
+	settledAt    time.Time // when an incarnation was known to have the run, to have had it or to refuse it; zero while unknown
+	settledOn    int64     // this incarnation
+	stoppedAt    time.Time // when an incarnation had carried out a stop request; zero while unknown
+	stoppedOn    int64     // this incarnation
+}
+
 // recordAnswer notes what the answer of an incarnation to a request to start the
 // run settles.
-func (n *run) recordAnswer(s settlement, incarnation int64) {
+func (p *proof) recordAnswer(s settlement, incarnation int64) {
 	if s != settlesNothing {
-		n.openStarts--
+		p.openStarts--
 	}
 	if s == settlesRun {
-		n.settle(incarnation)
+		p.settle(incarnation)
 	}
 }
 
 // settle notes that an incarnation of the worker has the run, had it, or refuses
 // it from now on.
-func (n *run) settle(incarnation int64) {
-	if !n.settled() || n.settledOn != incarnation {
-		n.settledAt, n.settledOn = time.Now(), incarnation
+func (p *proof) settle(incarnation int64) {
+	if !p.settled() || p.settledOn != incarnation {
+		p.settledAt, p.settledOn = time.Now(), incarnation
 	}
 }
 
 // settled reports whether an incarnation of the worker is known to have the run,
 // to have had it, or to refuse it.
-func (n *run) settled() bool { return !n.settledAt.IsZero() }
+func (p *proof) settled() bool { return !p.settledAt.IsZero() }
 
 // settledBefore reports whether the run was settled when a report was requested.
 // An earlier report may be older than the run.
-func (n *run) settledBefore(requested time.Time) bool {
-	return n.settled() && !requested.Before(n.settledAt)
+func (p *proof) settledBefore(requested time.Time) bool {
+	return p.settled() && !requested.Before(p.settledAt)
 }
 
 // neverStarted reports whether the run certainly has not started and will not
 // start unless another request is sent.
-func (n *run) neverStarted() bool { return n.openStarts == 0 && !n.settled() }
+func (p *proof) neverStarted() bool { return p.openStarts == 0 && !p.settled() }
 
 // mayStartOn reports whether a start request without an answer may still reach an
 // incarnation for which the run is not settled. Requests name the worker only.
-func (n *run) mayStartOn(incarnation int64) bool {
-	return n.openStarts > 0 && n.settledOn != incarnation
+func (p *proof) mayStartOn(incarnation int64) bool {
+	return p.openStarts > 0 && p.settledOn != incarnation
+}
+
+// mayStartLate reports whether a start request without an answer may still reach
+// the worker's next incarnation.
+func (p *proof) mayStartLate() bool {
+	return p.openStarts > 0 && time.Since(p.startSentAt) < maxRequestDelay
 }
 
 // stopStep is a step to stop a run.
--- a/internal/fleet/leader/proof_test.go
+++ b/internal/fleet/leader/proof_test.go
@@ -44,8 +44,8 @@
 		want bool
 	}{
 		{"nothing sent", run{}, true},
-		{"a request without an answer", run{openStarts: 1}, false},
-		{"settled", run{settledAt: time.Now()}, false},
+		{"a request without an answer", run{proof: proof{openStarts: 1}}, false},
+		{"settled", run{proof: proof{settledAt: time.Now()}}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/fleet/leader/report_test.go
+++ b/internal/fleet/leader/report_test.go
@@ -36,7 +36,7 @@
 		now := time.Now()
 		l := testLeader()
 		w := newWorker("w", now)
-		n := &run{key: runKey{TaskID{Job: "b"}, 1}, unit: ledger.UnitID{Job: "b"}, worker: w, settledAt: now.Add(-time.Second)}
+		n := &run{key: runKey{TaskID{Job: "b"}, 1}, unit: ledger.UnitID{Job: "b"}, worker: w, proof: proof{settledAt: now.Add(-time.Second)}}
 		w.runs[n.key] = n
 		report := Report{Incarnation: 1}
 		for i := range tt.ends {
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -44,7 +44,7 @@
 			l := testLeader()
 			w := newWorker("w0", now)
 			w.contacted, w.incarnation = true, 1
-			n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, settledAt: tt.accepted}
+			n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, proof: proof{settledAt: tt.accepted}}
 			w.runs[n.key] = n
 			l.applyReport(w, Report{ClockMs: 5, Incarnation: born}, tt.sent, 0)
 			is.Equal(n.endProposed, tt.lost) // tt.name
