--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -26,8 +26,10 @@
 	// connections at once.
 	startRetryInterval = 100 * time.Millisecond
 
-	// stopRetryDelay is the pause between two attempts of a stop request.
-	stopRetryDelay = 150 * time.Millisecond
+	// minStopPause and maxStopPause bound the pause between two steps to stop a
+	// run. It doubles with each step.
+	minStopPause = 150 * time.Millisecond
+	maxStopPause = time.Second
 )
 
 // deliverStart sends a start request until the worker answers or the start is
@@ -81,9 +83,9 @@
 		}
 		return false, pause
 	}
-	t := l.target(w)
+	t, incarnation := l.target(w), w.incarnation
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
-	n.startSent = true
+	n.openStarts, n.startSentAt = n.openStarts+1, time.Now()
 	delete(l.unsentStarts, n)
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
@@ -93,24 +95,25 @@
 	if try > 1 {
 		pause = startRetryInterval - time.Since(sent)
 	}
-	return l.recordStartAnswer(w, n, try, err), pause
+	return l.recordStartAnswer(w, n, try, incarnation, err), pause
 }
 
-// recordStartAnswer records a worker's answer to a start request and reports
-// whether the request is settled.
-func (l *Leader) recordStartAnswer(w *worker, n *run, try int, err error) bool {
+// recordStartAnswer records the answer of an incarnation of a worker to a start
+// request and reports whether the request is settled.
+func (l *Leader) recordStartAnswer(w *worker, n *run, try int, incarnation int64, err error) bool {
 	var refused *RefusedError
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n.recordAnswer(settledBy(err), incarnation)
 	switch {
 	case err == nil:
-		n.accepted, n.acceptedAt = true, time.Now()
+		n.accepted = true
 		l.Logger.Debug("run started", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Int("try", try))
 		w.wakeSession()
 		return true
 	case errors.As(err, &refused):
 		l.Logger.Info("worker refused start", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
-		l.startRefused(w, n, refused.Reason, try)
+		l.startRefused(w, n, refused.Reason)
 		return true
 	case l.ctx.Err() != nil:
 		return true
@@ -122,31 +125,26 @@
 	return false
 }
 
-// startRefused handles a refused start request. It ends the run, which
-// certainly did not start, unless the refusal says otherwise. The caller holds
-// l.mu.
-func (l *Leader) startRefused(w *worker, n *run, reason Refusal, try int) {
+// startRefused handles a refused start request. It ends the run if that certainly
+// did not start, and stops its unit if an earlier request may still start it. The
+// caller holds l.mu.
+func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
 	case RefusedStaleEpoch:
 		return // this leader learns of the newer epoch from the log
 	case RefusedStaleRun:
-		// The run has ended or was stopped on the worker; the next report says which.
-		n.acceptedAt = time.Now()
-		w.wakeSession()
-		return
+		w.wakeSession() // the next report says how the run ended
 	case RefusedUnhealthy, RefusedIncarnation:
 		w.unhealthyAt = time.Now()
 	}
-	if n.endProposed {
-		return
-	}
-	if reason == RefusedIncarnation && try > 1 {
-		// The first attempt may have reached the earlier incarnation.
-		go l.Feed.Propose(l.Epoch, l.endLost(w, []*run{n}, lossRestarted, time.Now())...)
-		return
+	switch {
+	case n.endProposed || n.settled():
+	case n.neverStarted():
+		r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
+		go l.Feed.Propose(l.Epoch, r)
+	default:
+		l.stopUnit(n.unit, "refused, but an earlier request was not answered")
 	}
-	r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
-	go l.Feed.Propose(l.Epoch, r)
 }
 
 // abandonStart gives up a start whose request was not answered in time. The
@@ -167,7 +165,7 @@
 	}
 	n.stopping = true
 	delete(l.unsentStarts, n)
-	if !n.startSent && !n.inherited {
+	if n.neverStarted() {
 		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
 		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
 		go l.Feed.Propose(l.Epoch, r)
@@ -177,50 +175,63 @@
 	go l.deliverStop(w, n)
 }
 
-// deliverStop sends a stop request until the worker answers or the run has
-// ended.
+// deliverStop stops a run: it sends stop requests until the worker has carried
+// one out, and requests reports until one shows what has become of the run.
 func (l *Leader) deliverStop(w *worker, n *run) {
-	for l.ctx.Err() == nil {
+	for pause := minStopPause; l.ctx.Err() == nil; pause = min(2*pause, maxStopPause) {
 		l.mu.Lock()
-		t := l.target(w)
-		gone := n.endProposed || w.runs[n.key] != n
+		step := n.nextStopStep(w)
 		l.mu.Unlock()
-		if gone {
+		if step == stopDone {
 			return
 		}
-		if t.Addr != "" && l.tryStop(w, t, n) {
-			return
+		if !l.takeStopStep(w, n, step) {
+			delay.For(l.ctx, pause)
 		}
-		delay.For(l.ctx, stopRetryDelay)
 	}
 }
 
-// tryStop sends a stop request once and reports whether the worker answered it.
-func (l *Leader) tryStop(w *worker, t Target, n *run) bool {
+// takeStopStep takes one step to stop a run and reports whether the next one is
+// due at once.
+func (l *Leader) takeStopStep(w *worker, n *run, step stopStep) bool {
+	switch step {
+	case stopRequest:
+		return l.tryStop(w, n)
+	case stopReport:
+		l.requestReport(w)
+	}
+	return false
+}
+
+// tryStop sends a stop request once and reports whether the worker refuses the
+// run from now on.
+func (l *Leader) tryStop(w *worker, n *run) bool {
+	l.mu.Lock()
+	t, incarnation := l.target(w), w.incarnation
+	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
 	defer cancel()
-	err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run})
-	var refused *RefusedError
-	if err != nil && !errors.As(err, &refused) {
+	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
+		l.logStopFailed(w, n, err)
 		return false
 	}
-	if refused != nil {
-		l.Logger.Info("worker refused stop", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
-	}
 	l.mu.Lock()
-	unanswered := n.acceptedAt.IsZero()
-	if unanswered {
-		// The worker refuses the run from now on, so a later report without
-		// the run proves that it is not on the worker and never will be.
-		n.acceptedAt = time.Now()
-	}
-	l.mu.Unlock()
-	if unanswered {
-		l.requestReport(w)
-	}
+	defer l.mu.Unlock()
+	n.stoppedAt, n.stoppedOn = time.Now(), incarnation
+	n.settle(incarnation)
 	return true
 }
 
+// logStopFailed logs a stop request that the worker refused or did not answer.
+func (l *Leader) logStopFailed(w *worker, n *run, err error) {
+	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run), zap.Error(err)}
+	if settledBy(err) == settlesRequest {
+		l.Logger.Info("worker refused stop; trying again", fields...)
+		return
+	}
+	l.Logger.Debug("stop request not answered; trying again", fields...)
+}
+
 // requestReport requests a report at once and reports whether the worker answered.
 // It does so beside the session, whose sync may wait for a run to end.
 func (l *Leader) requestReport(w *worker) bool {
@@ -239,15 +250,3 @@
 	l.applyReport(w, rep, sent, ack)
 	return true
 }
-
-// stopOrphan sends one stop request for a run that the state does not have.
-func (l *Leader) stopOrphan(w *worker, key runKey) {
-	l.mu.Lock()
-	t := l.target(w)
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
-	defer cancel()
-	if err := l.Client.Stop(ctx, t, StopRequest{key.task, key.run}); err != nil {
-		l.Logger.Info("stopping orphan run failed", zap.String("worker", w.id), zap.String("job", key.task.Job), zap.Error(err))
-	}
-}
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -57,22 +57,21 @@
 
 // run is the leader's view of a run that is, or may be, on a worker.
 type run struct {
-	key          runKey
-	worker       *worker
-	unit         ledger.UnitID
-	member       int
-	incarnation  int64 // of the worker for which it was decided; 0 is unknown
-	startedAt    time.Time
-	startSent    bool      // the start request may have been sent
-	unansweredAt time.Time // end of the newest attempt to start it that had no answer
-	inherited    bool      // started by an earlier leader
-	accepted     bool      // the worker answered that it started the run
-	acceptedAt   time.Time // when the worker accepted the start, or refused it for good; zero while unknown
-	reported     bool      // the worker has reported it as running
-	checkpoint   string
-	progress     progressSample
-	stopping     bool
-	endProposed  bool // a record of its end has been proposed
+	proof
+	key         runKey
+	worker      *worker
+	unit        ledger.UnitID
+	member      int
+	incarnation int64 // of the worker for which it was decided; 0 is unknown
+	startedAt   time.Time
+	accepted    bool // the worker answered that it started the run
+	reported    bool // the worker has reported it as running
+	checkpoint  string
+	progress    progressSample
+	stopping    bool
+	removed     bool              // no longer among the runs of its worker
+	lossOutcome ledger.RunOutcome // outcome if it ends as lost; empty while undecided
+	endProposed bool              // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
@@ -110,8 +109,7 @@
 		}
 		w := l.ensureWorker(m.Worker)
 		r := newRun(js, u, i)
-		r.acceptedAt = l.startedAt
-		r.inherited = true
+		r.settledAt = l.startedAt // a worker that has answered this leader refuses the requests of earlier ones
 		r.checkpoint = u.Checkpoint
 		l.addRun(w, r)
 		switch {
@@ -142,6 +140,8 @@
 
 // removeRun removes a run from its worker. The caller holds l.mu.
 func (l *Leader) removeRun(n *run) {
+	n.removed = true
+	n.worker.keepLate(n)
 	delete(n.worker.runs, n.key)
 	delete(l.unsentStarts, n)
 	rest := slices.DeleteFunc(l.unitRuns[n.unit], func(o *run) bool { return o == n })
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
 // Guards against blaming a crash on work that only ran beside its cause, and against blaming it on nothing.
 func TestCrashSuspects(t *testing.T) {
 	unsent := &run{}
-	unanswered := &run{startSent: true}
-	accepted := &run{startSent: true, accepted: true}
-	reported := &run{startSent: true, accepted: true, reported: true}
+	unanswered := &run{proof: proof{openStarts: 1}}
+	accepted := &run{proof: proof{settledAt: time.Now()}, accepted: true}
+	reported := &run{proof: proof{settledAt: time.Now()}, accepted: true, reported: true}
 	tests := []struct {
 		name   string
 		listed bool
@@ -41,3 +44,34 @@
 		})
 	}
 }
+
+// Guards against blaming a crash on a task that ran beside its cause, because the cause is only lost later.
+func TestCrashBlame(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := testLeader()
+	w := newWorker("w", now)
+	l.workers[w.id] = w
+	l.applyReport(w, Report{Incarnation: 1}, now, 0)
+	add := func(job string, n run) *run {
+		n.key, n.worker, n.unit, n.incarnation = runKey{TaskID{Job: job}, 1}, w, ledger.UnitID{Job: job}, 1
+		n.settledAt, n.settledOn, n.accepted = now, 1, true
+		w.runs[n.key] = &n
+		return &n
+	}
+	beside := add("beside", run{reported: true})
+	cause := add("cause", run{proof: proof{openStarts: 1}})
+	reported := add("reported", run{proof: proof{openStarts: 1}, reported: true})
+	l.applyReport(w, Report{Incarnation: 2}, now.Add(time.Second), 0)
+	is.True(beside.endProposed)
+	is.Equal(beside.lossOutcome, ledger.WorkerLost)
+	is.True(!cause.endProposed)
+	is.True(!reported.endProposed)
+	cause.settle(2) // stopped on the new incarnation
+	reported.settle(2)
+	l.applyReport(w, Report{Incarnation: 2}, time.Now(), 0)
+	is.True(cause.endProposed)
+	is.Equal(cause.lossOutcome, ledger.WorkerCrashed)
+	is.True(reported.endProposed)
+	is.Equal(reported.lossOutcome, ledger.WorkerLost)
+}
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -44,7 +44,7 @@
 			l := testLeader()
 			w := newWorker("w0", now)
 			w.contacted, w.incarnation = true, 1
-			n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, acceptedAt: tt.accepted}
+			n := &run{key: runKey{TaskID{Job: "a"}, 1}, unit: ledger.UnitID{Job: "a"}, proof: proof{settledAt: tt.accepted}}
 			w.runs[n.key] = n
 			l.applyReport(w, Report{ClockMs: 5, Incarnation: born}, tt.sent, 0)
 			is.Equal(n.endProposed, tt.lost) // tt.name
@@ -116,7 +116,7 @@
 		{"draining", func(w *worker) { w.entry.Draining = true }, false},
 		{"refused just now", func(w *worker) { w.unhealthyAt = now }, false},
 		{"another incarnation is listed", func(w *worker) { w.entry.Incarnation = 2 }, false},
-		{"runs what is not in the state", func(w *worker) { w.orphans[runKey{}] = now }, false},
+		{"runs what is not in the state", func(w *worker) { w.orphans[runKey{}] = &run{} }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
