Keep what is known of a worker while its entry is unreadable

What callers saw: nothing for certain; runs of a worker whose entry another writer had overwritten were at risk, and each read logged a line. Cause: an entry that could not be used took its worker off the list, as if it had left. A new leader then waited less for the leases of inherited runs, which an earlier leader may still renew, and the list of machines alone decided whether the worker's runs had ended. With a wrong address in the entry the runs were lost and started again after one lease. Change: such an entry is passed on as unreadable, with the fields of the last readable one. The worker stays listed, its leases are renewed and its ends taken at the address last known, nothing new starts on it, and it is used again with its next entry. It leaves when its entry is removed. A worker without a known address is not counted among those that don't answer.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -207,6 +207,9 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
+		if e.Unreadable && l.workers[e.ID] == nil {
+			continue // it has no runs, and its address is unknown
+		}
 		w := l.ensureWorker(e.ID)
 		if e.Draining && !(w.listed && w.entry.Draining) {
 			leaving = append(leaving, w)
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -30,6 +30,10 @@
 	Remaining   time.Duration // least time that a draining worker stays
 	Incarnation int64         // Unix ms at which it started; identifies the incarnation
 	ColdUntil   time.Time     // end of the slow period after its start
+
+	// Unreadable is set if the newest entry of the worker cannot be used. The other
+	// fields are those of the newest readable one; Addr is empty if there is none.
+	Unreadable bool
 }
 
 // Machine is a machine in the platform's list. It runs one worker at a time, and
--- a/internal/fleet/leader/reach.go
+++ b/internal/fleet/leader/reach.go
@@ -52,7 +52,7 @@
 	defer l.mu.Unlock()
 	var busy, busyUnresponsive int
 	for _, w := range l.workers {
-		if !w.listed {
+		if !w.listed || w.entry.Addr == "" {
 			continue
 		}
 		asked++
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -91,8 +91,13 @@
 }
 
 // setEntry stores the platform's entry of the worker and reports whether the
-// worker is newly listed, has restarted or has another address.
+// worker is newly listed, has restarted or has another address. An unreadable
+// entry without an address leaves what is known of the worker.
 func (w *worker) setEntry(e WorkerEntry) bool {
+	if e.Unreadable && e.Addr == "" {
+		e = w.entry
+		e.Unreadable = true
+	}
 	changed := !w.listed || w.entry.Addr != e.Addr || w.entry.Incarnation != e.Incarnation
 	w.entry = e
 	w.listed = true
@@ -101,7 +106,7 @@
 
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 &&
+	return w.listed && !w.entry.Unreadable && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 &&
 		now.Sub(w.lastAnswer) < idleSyncInterval+maxRenewSilence && now.Sub(w.unhealthyAt) > unhealthyPause &&
 		(w.entry.Incarnation == 0 || w.entry.Incarnation == w.incarnation)
 }
