Do not use a worker's entry that names an unknown service

What callers saw: nothing for certain; the runs of a worker whose entry another writer had overwritten started again. Cause: the leader took over every well-formed entry, also one of a service that nobody names, with its address and its notice to drain. Change: while there is a configuration, an entry of a service that neither the configuration nor a job names counts as unreadable. Jobs of a service that was taken out of the configuration go on there.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -41,6 +41,8 @@
 	planWake       chan struct{}
 	ctx            context.Context
 	startedAt      time.Time
+
+	unknownServices map[string]string // by worker: unknown service in its entry; used only by UpdateWorkers
 }
 
 // Bounds holds the time limits of the deployment.
@@ -185,7 +187,7 @@
 // UpdateWorkers replaces the platform's list of workers and moves work off the
 // workers that have begun to drain.
 func (l *Leader) UpdateWorkers(entries []WorkerEntry) {
-	leaving := l.mergeEntries(entries)
+	leaving := l.mergeEntries(l.withoutUnknownServices(entries))
 	l.wakePlanner()
 	if len(leaving) == 0 {
 		return
