--- a/internal/fleet/leader/unreadable_test.go
+++ b/internal/fleet/leader/unreadable_test.go
@@ -50,7 +50,7 @@
 			is := is.New(t)
 			l := testLeader()
 			w := l.ensureWorker("w")
-			n := &run{worker: w, inherited: true}
+			n := &run{worker: w, proof: proof{settledAt: l.startedAt}}
 			w.runs[n.key] = n
 			l.mergeEntries(tt.entries)
 			l.startedAt = time.Now().Add(-maxLeaseTime(l.Bounds.Lease) - time.Second)
