Keep the leader known and claim only with a complete state

Seen: one process is restarted when the leader has led for longer than the store keeps records. It deposes the sound leader, and tasks that had ended done run again (TWICE).

Cause: the claim of an epoch is written once and expires. A process that starts later reads records of the epoch with a state of epoch 0, ignores them, sees no leader, and claims with a state that lacks their effect.

Change: - A record of an epoch proves that the epoch was claimed. A state of a lower epoch adopts it, with the leader unknown. Whoever reads all records meets the claim first, so that complete replicas stay equal. - The leader repeats its claim three times during the retention. With an incomplete state an instance ends its term, answers that it doesn't know about jobs that it doesn't have instead of denying them, and claims only when nothing was heard of a leader for 5 s. It then says so in the log, and its state is the one that counts.

--- a/internal/fleet/feed/commit.go
+++ b/internal/fleet/feed/commit.go
@@ -50,11 +50,13 @@
 }
 
 // commitLoop appends the queued records of the term, one batch at a time, and
-// heartbeats when the queue stays empty.
+// heartbeats when the queue stays empty. It repeats the claim before it expires.
 func (f *Feed) commitLoop(ctx context.Context, t *term) {
 	seq := uint64(1) // number of the append that claimed the epoch
 	heartbeat := time.NewTimer(heartbeatPeriod)
 	defer heartbeat.Stop()
+	claims, stop := every(f.Retention / claimsPerRetention)
+	defer stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -62,6 +64,8 @@
 		case <-t.wake:
 		case <-heartbeat.C:
 			f.Propose(t.epoch, ledger.Record{Heartbeat: &ledger.LeaderNotice{Epoch: t.epoch}})
+		case <-claims:
+			f.Propose(t.epoch, f.claimRecord(t.epoch))
 		}
 		for {
 			records := f.nextBatch(t)
@@ -77,6 +81,16 @@
 	}
 }
 
+// every returns a channel that receives a value once per period, never if the
+// period is 0, and a function that ends this.
+func every(period time.Duration) (<-chan time.Time, func()) {
+	if period <= 0 {
+		return nil, func() {}
+	}
+	t := time.NewTicker(period)
+	return t.C, t.Stop
+}
+
 // nextBatch removes the next batch from the queue and returns its encoded
 // records.
 func (f *Feed) nextBatch(t *term) [][]byte {
--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -20,6 +20,16 @@
 	// instances. The first one to append becomes the leader, and the others read
 	// its claim before they would append their own.
 	maxClaimJitter = 400 * time.Millisecond
+
+	// lastResortDelay is how long nothing may be heard of a leader before an
+	// instance claims the leadership although its state lacks records. Instances
+	// whose state is complete claim well before that, and a leader writes the
+	// snapshot that completes the state of others.
+	lastResortDelay = 5 * time.Second
+
+	// claimsPerRetention is how often a leader repeats its claim during the log's
+	// retention time, so that the retained records always tell who leads.
+	claimsPerRetention = 3
 )
 
 // term is the state of an epoch that this instance leads.
@@ -31,19 +41,23 @@
 	wake      chan struct{}
 }
 
-// claimApplied handles a claim that took effect: it ends the term of this
-// instance, and begins a new one if the claim is its own. The caller holds the
+// epochBegan handles the begin of a new epoch: it ends the term of this instance,
+// and begins a new one if the claim of the epoch is its own. The caller holds the
 // lock.
-func (f *Feed) claimApplied(c ledger.Claim) {
+func (f *Feed) epochBegan(c ledger.Claim) {
 	if f.term != nil {
 		f.term.cancel()
 		f.term = nil
-		f.Logger.Warn("leadership ended: a claim of a higher epoch took effect", zap.Uint64("epoch", c.Epoch), zap.String("to", c.Instance))
+		f.Logger.Warn("leadership ended: a higher epoch began", zap.Uint64("epoch", c.Epoch), zap.String("to", c.Instance))
 	}
 	if c.Incarnation != f.Incarnation || c.Instance != f.Instance {
 		f.Logger.Info("another instance became the leader", zap.Uint64("epoch", c.Epoch), zap.String("leader", c.Instance))
 		return
 	}
+	if !f.mayLead(c.Epoch) {
+		return
+	}
+	f.missedBefore = 0 // the state of the leader is the one that counts from now on
 	ctx, cancel := context.WithCancel(context.Background())
 	f.term = &term{epoch: c.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
 	f.Logger.Info("this instance became the leader", zap.Uint64("epoch", c.Epoch), zap.Uint64("offset", f.next))
@@ -56,20 +70,34 @@
 	}
 }
 
+// mayLead reports whether this instance may lead the epoch that it has claimed. It
+// may not if its state lacks records, unless it has claimed as the last resort.
+// The caller holds the lock.
+func (f *Feed) mayLead(epoch uint64) bool {
+	if f.missedBefore == 0 {
+		return true
+	}
+	if epoch != f.lastResortEpoch {
+		f.Logger.Warn("own claim took effect, but the state lacks records; not leading", zap.Uint64("epoch", epoch), zap.Uint64("before", f.missedBefore))
+		return false
+	}
+	f.Logger.Warn("leading as the last resort: the state lacks records that neither a leader nor a snapshot provides", zap.Uint64("epoch", epoch), zap.Uint64("before", f.missedBefore))
+	return true
+}
+
 // resignApplied ends the term of this instance if the resignation belongs to it.
 // The caller holds the lock.
 func (f *Feed) resignApplied(epoch uint64) {
 	if f.term != nil && f.term.epoch == epoch {
-		f.Logger.Info("leadership ended", zap.Uint64("epoch", epoch), zap.String("cause", "resigned"))
-		f.term.cancel()
-		f.term = nil
+		f.endTerm("resigned")
 	}
 }
 
 // shouldClaim reports whether this instance should claim the leadership: its
 // state is current, and the leader has resigned, has timed out or is an earlier
 // incarnation of this instance. The claims of instances are separated by
-// ClaimDelay and the jitter.
+// ClaimDelay and the jitter. An instance whose state lacks records claims only as
+// the last resort.
 func (f *Feed) shouldClaim(jitter time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,10 +107,13 @@
 	if time.Now().Before(f.noClaimBefore) {
 		return false
 	}
+	if f.missedBefore > 0 && time.Since(f.leaderSeen) < lastResortDelay {
+		return false
+	}
 	if f.claimConflictEnd > 0 {
 		return f.next >= f.claimConflictEnd
 	}
-	since := time.Since(f.leaderSeen)
+	since := min(time.Since(f.leaderSeen), time.Since(f.lastClaim))
 	if f.state.NoLeader {
 		return since > f.ClaimDelay+jitter/4
 	}
@@ -111,10 +142,14 @@
 		expectedEnd = nil
 	}
 	epoch := max(f.state.Epoch+1, f.minClaimEpoch)
+	lastResort := f.missedBefore > 0
+	if lastResort {
+		f.lastResortEpoch = epoch
+	}
 	silent := time.Since(f.leaderSeen)
-	f.leaderSeen = time.Now()
+	f.lastClaim = time.Now()
 	f.mu.Unlock()
-	data, err := ledger.Encode(ledger.Record{Claim: &ledger.Claim{Epoch: epoch, Instance: f.Instance, Incarnation: f.Incarnation}})
+	data, err := ledger.Encode(f.claimRecord(epoch))
 	if err != nil {
 		f.Logger.Error("leadership not claimed: the record could not be encoded", zap.Error(err))
 		return
@@ -122,10 +157,15 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	_, err = f.Append(ctx, Batch{Records: [][]byte{data}, ExpectedEnd: expectedEnd, Epoch: epoch, Seq: 1})
-	f.Logger.Info("leadership claim attempted", zap.Uint64("epoch", epoch), zap.Uint64("next", next), zap.Bool("conditional", expectedEnd != nil), zap.Duration("silent", silent), zap.Error(err))
+	f.Logger.Info("leadership claim attempted", zap.Uint64("epoch", epoch), zap.Uint64("next", next), zap.Bool("conditional", expectedEnd != nil), zap.Duration("silent", silent), zap.Bool("lastresort", lastResort), zap.Error(err))
 	f.claimAnswered(epoch, next, err)
 }
 
+// claimRecord returns the claim of an epoch by this instance.
+func (f *Feed) claimRecord(epoch uint64) ledger.Record {
+	return ledger.Record{Claim: &ledger.Claim{Epoch: epoch, Instance: f.Instance, Incarnation: f.Incarnation}}
+}
+
 // claimAnswered handles the answer of the log to a claim.
 func (f *Feed) claimAnswered(epoch, next uint64, err error) {
 	f.mu.Lock()
@@ -147,6 +187,11 @@
 func (f *Feed) stepDown(cause string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endTerm(cause)
+}
+
+// endTerm is like stepDown. The caller holds the lock.
+func (f *Feed) endTerm(cause string) {
 	if f.term == nil {
 		return
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -69,6 +69,9 @@
 	LoadSnapshot func(ctx context.Context) ([]byte, error)
 	SaveSnapshot func(ctx context.Context, data []byte) error
 
+	// Retention is how long the log keeps a record; 0 is unlimited.
+	Retention time.Duration
+
 	// MinSnapshotLag is the smallest size in bytes of the records since the last
 	// snapshot at which another one is written; default 256 KiB.
 	MinSnapshotLag int
@@ -91,16 +94,23 @@
 	state             *ledger.State
 	next              uint64    // offset of the next record to apply
 	logEnd            uint64    // end of the log at the last read
-	caughtUp          bool      // the log has been read to its end once
+	caughtUp          bool      // the log has been read to its end since the state was last loaded or skipped records
 	lastRead          time.Time // last successful read
 	readsFailing      bool      // the last read failed
 	failingSince      time.Time // first failed read since the last successful one
 	seenLeaderRecords uint64    // state.LeaderRecords after the last read
 
+	// missedBefore is 0 if the state is complete: if it contains the effect of all
+	// records before next. Otherwise records before missedBefore had expired
+	// before this instance could read them. A snapshot at or after that offset
+	// contains them.
+	missedBefore uint64
+
 	// leaderSeen is the start of the leader timeout: the last read that returned
-	// a record of the leader, the first successful read after a failed one, the
-	// read that first reached the end of the log, or this instance's last claim.
+	// a record of the leader, the first successful read after a failed one, or the
+	// read that first reached the end of the log.
 	leaderSeen time.Time
+	lastClaim  time.Time // last attempt of this instance to claim the leadership
 
 	changed       chan struct{} // closed and replaced at each change
 	term          *term         // nil if this instance does not lead
@@ -109,6 +119,8 @@
 	noClaimBefore time.Time     // set by Yield, so that another instance leads
 	minClaimEpoch uint64        // lowest epoch for which the log may still accept a claim
 
+	lastResortEpoch uint64 // last epoch that was claimed although the state lacked records
+
 	// claimConflictEnd is the end of the log that made the log refuse the last
 	// conditional claim. It is 0 if no claim was refused for this reason, or if a
 	// record of a leader has been read since.
@@ -213,7 +225,7 @@
 		f.caughtUp = true
 		f.leaderSeen = now
 		f.notifyChanged()
-		f.Logger.Info("log read to its end for the first time", zap.Uint64("offset", f.next), zap.Int("jobs", len(f.state.Jobs)), zap.Uint64("epoch", f.state.Epoch))
+		f.Logger.Info("log read to its end", zap.Uint64("offset", f.next), zap.Int("jobs", len(f.state.Jobs)), zap.Uint64("epoch", f.state.Epoch), zap.Uint64("missing", f.missedBefore))
 	}
 	if f.state.LeaderRecords != f.seenLeaderRecords {
 		f.seenLeaderRecords = f.state.LeaderRecords
@@ -237,16 +249,19 @@
 }
 
 // skipExpired continues at the oldest retained record, or at the newest snapshot
-// if that is newer. Every live job is rewritten in full within the retention time,
-// so the state is complete once the end of the log is reached.
+// if that is newer. Without such a snapshot the state lacks records until one is
+// loaded. An instance whose state lacks records does not lead.
 func (f *Feed) skipExpired(from, first uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next == from {
-		f.next = first
-		f.snapshot.loaded, f.snapshot.loadAttempts = false, 0
+	if f.next != from {
+		return
 	}
-	f.Logger.Info("records expired before they were read; continuing at the oldest retained record", zap.Uint64("from", from), zap.Uint64("first", first))
+	f.next, f.missedBefore = first, first
+	f.caughtUp = false
+	f.snapshot.loaded, f.snapshot.loadAttempts = false, 0
+	f.Logger.Warn("records expired before they were read; continuing at the oldest retained record", zap.Uint64("from", from), zap.Uint64("first", first))
+	f.endTerm("records expired before they were read")
 }
 
 // applyPage applies the records of a page that have not been applied yet. It
@@ -286,11 +301,12 @@
 		f.Logger.Warn("record skipped: it could not be decoded", zap.Uint64("offset", offset), zap.Error(err))
 		return
 	}
+	epoch := f.state.Epoch
 	effective := f.state.Apply(r)
-	switch {
-	case r.Claim != nil && effective:
-		f.claimApplied(*r.Claim)
-	case r.Resign != nil && effective:
+	if f.state.Epoch > epoch {
+		f.epochBegan(f.state.Leader)
+	}
+	if r.Resign != nil && effective {
 		f.resignApplied(r.Resign.Epoch)
 	}
 	if f.OnApply != nil {
@@ -384,7 +400,7 @@
 // Sync reads the log to its current end. If Run has not read the log to its end
 // yet, Sync first waits for Run, because reading the same records a second time
 // would need as much bandwidth again. It does not wait while reads of the log
-// fail.
+// fail. It returns *IncompleteError if the state then still lacks records.
 func (f *Feed) Sync(ctx context.Context) error {
 	if err := f.awaitCaughtUp(ctx); err != nil {
 		return err
@@ -401,11 +417,21 @@
 			return err
 		}
 		if n == 0 || f.atEnd() {
-			return nil
+			return f.checkComplete()
 		}
 	}
 }
 
+// checkComplete returns *IncompleteError if the state lacks records.
+func (f *Feed) checkComplete() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.missedBefore > 0 {
+		return &IncompleteError{f.missedBefore}
+	}
+	return nil
+}
+
 // awaitCaughtUp waits until the log has been read to its end once, or until reads
 // fail.
 func (f *Feed) awaitCaughtUp(ctx context.Context) error {
--- a/internal/fleet/feed/snapshot.go
+++ b/internal/fleet/feed/snapshot.go
@@ -30,23 +30,25 @@
 	// maxLoadAttempts is how often reading the snapshot is tried before the log
 	// is read from its oldest record.
 	maxLoadAttempts = 3
+
+	// reloadPeriod is the time between two reads of the snapshot by an instance
+	// whose state lacks records, until it finds one that contains them.
+	reloadPeriod = 2 * time.Second
 )
 
 // snapshotState is what a feed knows about the snapshots of the log.
 type snapshotState struct {
 	loaded       bool // the snapshot was read, or is not to be
 	loadAttempts int
-	lag          int // bytes of the records since the newest known snapshot
-	size         int // bytes of that snapshot
+	triedAt      time.Time // last attempt to read the snapshot
+	lag          int       // bytes of the records since the newest known snapshot
+	size         int       // bytes of that snapshot
 }
 
-// loadSnapshot continues from the newest snapshot, if it is newer than the state.
-// It reports whether the log can be read from there on.
+// loadSnapshot continues from the newest snapshot, if one is wanted and it is
+// newer than the state. It reports whether the log can be read from there on.
 func (f *Feed) loadSnapshot(ctx context.Context) bool {
-	f.mu.Lock()
-	loaded := f.snapshot.loaded || f.LoadSnapshot == nil
-	f.mu.Unlock()
-	if loaded {
+	if !f.beginLoad() {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -61,15 +63,16 @@
 	defer f.mu.Unlock()
 	if err != nil {
 		f.snapshot.loadAttempts++
-		f.snapshot.loaded = f.snapshot.loadAttempts >= maxLoadAttempts
+		f.snapshot.loaded = f.snapshot.loaded || f.snapshot.loadAttempts >= maxLoadAttempts
 		f.Logger.Warn("reading the snapshot failed", zap.Int("attempt", f.snapshot.loadAttempts), zap.Bool("without", f.snapshot.loaded), zap.Error(err))
 		return f.snapshot.loaded
 	}
 	f.snapshot.loaded = true
-	if state == nil || next <= f.next {
+	if state == nil || f.term != nil || !f.improvedBy(next) {
 		return true
 	}
-	f.state, f.next = state, next
+	f.state, f.next, f.missedBefore = state, next, 0
+	f.caughtUp = false
 	f.seenLeaderRecords = state.LeaderRecords
 	f.snapshot.lag, f.snapshot.size = 0, len(data)
 	f.notifyChanged()
@@ -77,6 +80,25 @@
 	return true
 }
 
+// beginLoad reports whether the snapshot is to be read now: at the start, after
+// records have expired before they were read, and from time to time while the
+// state lacks records.
+func (f *Feed) beginLoad() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.LoadSnapshot == nil || f.snapshot.loaded && (f.missedBefore == 0 || time.Since(f.snapshot.triedAt) < reloadPeriod) {
+		return false
+	}
+	f.snapshot.triedAt = time.Now()
+	return true
+}
+
+// improvedBy reports whether a snapshot at the offset is newer than the state or
+// contains records that the state lacks. The caller holds the lock.
+func (f *Feed) improvedBy(next uint64) bool {
+	return next > f.next || f.missedBefore > 0 && next >= f.missedBefore
+}
+
 // snapshotLoop writes a snapshot whenever one is due, until the term ends. A
 // snapshot is due when the records since the last one have more bytes than it: a
 // starting instance then reads at most about twice the snapshot's size.
--- a/internal/fleet/feed/store.go
+++ b/internal/fleet/feed/store.go
@@ -77,6 +77,17 @@
 	return fmt.Sprintf("records before offset %d have expired", e.First)
 }
 
+// IncompleteError reports a state that lacks records, because they had expired
+// before they could be read.
+type IncompleteError struct {
+	Before uint64 // offset before which records are missing
+}
+
+// Error returns a message with the offset.
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("state is incomplete: records before offset %d expired before they were read", e.Before)
+}
+
 // ReadError reports a failed read of the log.
 type ReadError struct {
 	Err error
--- /dev/null
+++ b/internal/fleet/instance/expiry_test.go
@@ -0,0 +1,107 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/fleettest"
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+// shortRetention is how long the log and the snapshots of runExpiringCluster are
+// retained.
+const shortRetention = 20 * time.Second
+
+// expiringSnapshots loses the newest snapshot of a cluster after shortRetention, or
+// at once.
+type expiringSnapshots struct {
+	lost bool // no snapshot can be read
+
+	mu      sync.Mutex
+	savedAt time.Time
+}
+
+// wrap lets the snapshots of an instance expire.
+func (e *expiringSnapshots) wrap(n *Instance) {
+	n.Settings.Bounds.Retention = shortRetention
+	save, load := n.SaveSnapshot, n.LoadSnapshot
+	n.SaveSnapshot = func(ctx context.Context, data []byte) error {
+		err := save(ctx, data)
+		if err == nil {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.savedAt = time.Now()
+		}
+		return err
+	}
+	n.LoadSnapshot = func(ctx context.Context) ([]byte, error) {
+		e.mu.Lock()
+		expired := e.lost || time.Since(e.savedAt) > shortRetention
+		e.mu.Unlock()
+		if expired {
+			return nil, nil
+		}
+		return load(ctx)
+	}
+}
+
+// runExpiringCluster is like runCluster, with records and snapshots that expire and
+// with the lag at which an instance outside tests writes a snapshot.
+func runExpiringCluster(t *testing.T, lostSnapshots bool, workers int, f func(c *cluster)) *fleettest.Checker {
+	e := &expiringSnapshots{lost: lostSnapshots}
+	return runClusterWith(t, 1, 3, workers, e.wrap, func(c *cluster) {
+		c.minSnapshotLag = 0
+		for _, n := range c.nodes {
+			c.restart(n)
+		}
+		go func() {
+			for c.ctx.Err() == nil {
+				end := c.log.End()
+				time.AfterFunc(shortRetention, func() { c.log.SetFaults(func(l *fleettest.LogFaults) { l.FirstOffset = end }) })
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+		f(c)
+	})
+}
+
+// Guards against a restarted instance that takes over from a sound leader whose
+// claim has expired, and that starts finished tasks again.
+func TestRestartAfterClaimExpired(t *testing.T) {
+	for _, lostSnapshots := range []bool{false, true} {
+		t.Run(fmt.Sprintf("snapshots lost %v", lostSnapshots), func(t *testing.T) {
+			is := is.New(t)
+			r := runExpiringCluster(t, lostSnapshots, 4, func(c *cluster) {
+				time.Sleep(3 * time.Second)
+				submitEvery := func(from, to int) {
+					for i := from; i < to; i++ {
+						is.True(c.submit(c.nodes[i%3], job(fmt.Sprint("j", i), ledger.Step{Count: 2, GPU: 1, Estimate: 1500})))
+						time.Sleep(2 * time.Second)
+					}
+				}
+				submitEvery(0, 22)
+				first := c.leader()
+				epoch := first.instance().Feed.Status().Epoch
+				for _, n := range c.nodes {
+					if n != first {
+						c.restart(n)
+						break
+					}
+				}
+				submitEvery(22, 27)
+				is.Equal(c.leader(), first)
+				is.Equal(first.instance().Feed.Status().Epoch, epoch)
+				c.restart(first)
+				submitEvery(27, 30)
+				is.Equal(c.countLeaders(), 1)
+				is.Equal(c.waitFinished([]string{"j24", "j25", "j26", "j27", "j28", "j29"}, 20*time.Second), nil)
+			})
+			is.Equal(r.Violations, nil)
+		})
+	}
+}
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -135,7 +135,7 @@
 	n.Policy = &policy.Current{}
 	n.Feed = &feed.Feed{
 		Instance: n.Settings.Node, Incarnation: incarnation, Append: n.Append, Read: n.Read, Logger: n.Logger,
-		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot,
+		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot, Retention: n.Settings.Bounds.Retention,
 		ClaimDelay: n.Settings.claimDelay(), OnLead: n.startLeader, OnApply: n.recordApplied,
 	}
 	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -1,7 +1,8 @@
 package ledger
 
-// Apply applies the next record of the log and reports whether it had an effect. Records of an epoch that has ended, of an unknown job or of a run
-// that is not current have no effect.
+// Apply applies the next record of the log and reports whether it had an effect.
+// Records of an epoch that has ended, of an unknown job or of a run that is not
+// current, and repeated claims have no effect.
 func (s *State) Apply(r Record) bool {
 	switch {
 	case r.Claim != nil:
@@ -31,25 +32,44 @@
 
 // acceptEpoch reports whether the epoch is the newest one. If so, it counts the
 // record in LeaderRecords, as evidence that the leader is alive.
+//
+// A record of a later epoch proves that the epoch was claimed before. The state
+// lacks the claim if it had expired before it could be read; the leader is then
+// unknown until it repeats its claim.
 func (s *State) acceptEpoch(epoch uint64) bool {
-	if epoch != s.Epoch {
+	if epoch < s.Epoch {
 		return false
 	}
+	if epoch > s.Epoch {
+		s.beginEpoch(Claim{Epoch: epoch})
+	}
 	s.LeaderRecords++
 	return true
 }
 
 // applyClaim makes the claimant the leader if its epoch is higher than the
-// newest one.
+// newest one. The leader repeats its claim for readers that begin later: it then
+// only shows who leads and that the leader is alive.
 func (s *State) applyClaim(c Claim) bool {
-	if c.Epoch <= s.Epoch {
+	if c.Epoch < s.Epoch || c.Epoch == 0 {
 		return false
 	}
+	s.LeaderRecords++
+	if c.Epoch > s.Epoch {
+		s.beginEpoch(c)
+		return true
+	}
+	if s.Leader.Instance == "" {
+		s.Leader = c
+	}
+	return false
+}
+
+// beginEpoch begins the epoch of a claim.
+func (s *State) beginEpoch(c Claim) {
 	s.Epoch = c.Epoch
 	s.Leader = c
 	s.NoLeader = false
-	s.LeaderRecords++
-	return true
 }
 
 // applySubmit adds a job unless one with the same ID exists.
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -51,6 +51,9 @@
 		{"lasting task starts again", []Record{claim(1), submit("a", Step{Count: 1, LongRunning: true}), start(1, "a", 1, "w"), end(1, "a", 1, 0, Done), start(1, "a", 2, "w")}, true, Running},
 		{"cancelled after its end", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, Done), {Cancel: &Cancel{ID: "a"}}}, false, Finished},
 		{"claim of the same epoch", []Record{submit("a", one), claim(1), claim(1)}, false, Queued},
+		{"start, its claim has expired", []Record{submit("a", one), start(3, "a", 1, "w")}, true, Running},
+		{"end, its claim has expired", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(3, "a", 1, 0, Done)}, true, Finished},
+		{"start of an earlier epoch than a heartbeat", []Record{submit("a", one), heartbeat(3), start(2, "a", 1, "w")}, false, Queued},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -70,6 +73,52 @@
 	}
 }
 
+func heartbeat(epoch uint64) Record { return Record{Heartbeat: &LeaderNotice{Epoch: epoch}} }
+
+func resign(epoch uint64) Record { return Record{Resign: &LeaderNotice{Epoch: epoch}} }
+
+// Guards against a reader that holds an earlier epoch for the newest one, or sees
+// no leader, because the leader's claim has expired.
+func TestLeaderOfExpiredClaim(t *testing.T) {
+	claimBy := func(epoch uint64, name string) Record { return Record{Claim: &Claim{Epoch: epoch, Instance: name}} }
+	tests := []struct {
+		name     string
+		records  []Record
+		epoch    uint64
+		leader   string
+		noLeader bool
+		seen     uint64 // LeaderRecords
+	}{
+		{"nothing", nil, 0, "", true, 0},
+		{"heartbeat", []Record{heartbeat(4)}, 4, "", false, 1},
+		{"start", []Record{start(4, "a", 1, "w")}, 4, "", false, 1},
+		{"end", []Record{end(4, "a", 1, 0, Done)}, 4, "", false, 1},
+		{"resignation", []Record{resign(4)}, 4, "", true, 1},
+		{"known leader replaced", []Record{claimBy(1, "n"), heartbeat(4)}, 4, "", false, 2},
+		{"resigned leader replaced", []Record{claimBy(1, "n"), resign(1), heartbeat(4)}, 4, "", false, 3},
+		{"record of an ended epoch", []Record{heartbeat(4), heartbeat(3)}, 4, "", false, 1},
+		{"repeated claim names the leader", []Record{heartbeat(4), claimBy(4, "m")}, 4, "m", false, 2},
+		{"repeated claim of a known leader", []Record{claimBy(4, "m"), claimBy(4, "m")}, 4, "m", false, 2},
+		{"repeated claim after the resignation", []Record{resign(4), claimBy(4, "m")}, 4, "m", true, 2},
+		{"later claim", []Record{heartbeat(4), claimBy(5, "n")}, 5, "n", false, 2},
+		{"claim of no epoch", []Record{claimBy(0, "n")}, 0, "", true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewState()
+			for _, r := range tt.records {
+				s.Apply(r)
+			}
+			is.Equal(s.Epoch, tt.epoch)
+			is.Equal(s.Leader.Epoch, tt.epoch)
+			is.Equal(s.Leader.Instance, tt.leader)
+			is.Equal(s.NoLeader, tt.noLeader)
+			is.Equal(s.LeaderRecords, tt.seen)
+		})
+	}
+}
+
 // Guards against a rewritten job or a snapshot that differs from the state it was
 // written from. An instance that reads only these would then hold another state
 // than one that has applied the original records.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -148,10 +148,10 @@
 // offset.
 type State struct {
 	Jobs          map[string]*JobState
-	Epoch         uint64 // epoch of the newest leader
-	Leader        Claim
+	Epoch         uint64            // epoch of the newest leader
+	Leader        Claim             // of the epoch; without names if the claim had expired before it was read
 	NoLeader      bool              // no leader has claimed yet, or the newest one has resigned
-	LeaderRecords uint64            // number of effective claims and of records of the then newest epoch
+	LeaderRecords uint64            // number of claims and other records of the then newest epoch
 	Peers         map[string]string // address of each instance by its name
 }
 
