--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -57,6 +57,7 @@
 	if !f.mayLead(c.Epoch) {
 		return
 	}
+	f.scheduleSnapshot(f.missedBefore > 0)
 	f.missedBefore = 0 // the state of the leader is the one that counts from now on
 	ctx, cancel := context.WithCancel(context.Background())
 	f.term = &term{epoch: c.Epoch, cancel: cancel, wake: make(chan struct{}, 1)}
--- a/internal/fleet/feed/snapshot.go
+++ b/internal/fleet/feed/snapshot.go
@@ -16,6 +16,17 @@
 	// costs a starting instance less than a snapshot: one page.
 	defaultMinSnapshotLag = 256 << 10
 
+	// snapshotsPerRetention is how often a leader writes a snapshot during the
+	// log's retention time even if few records were added. The records after the
+	// newest snapshot are then still retained when an instance starts.
+	snapshotsPerRetention = 3
+
+	// firstSnapshotShare is the share of the retention time after which a new
+	// leader writes its first snapshot, because it does not know how old the newest
+	// one is. It is short enough to bridge several changes of leader, and longer
+	// than a brief term.
+	firstSnapshotShare = 12
+
 	// snapshotCheckPeriod is the time between two checks of whether a snapshot is
 	// due.
 	snapshotCheckPeriod = 500 * time.Millisecond
@@ -43,6 +54,7 @@
 	triedAt      time.Time // last attempt to read the snapshot
 	lag          int       // bytes of the records since the newest known snapshot
 	size         int       // bytes of that snapshot
+	renewAt      time.Time // when the leader writes a snapshot even if few records were added
 }
 
 // loadSnapshot continues from the newest snapshot, if one is wanted and it is
@@ -99,9 +111,23 @@
 	return next > f.next || f.missedBefore > 0 && next >= f.missedBefore
 }
 
+// scheduleSnapshot sets when the leader of a new term renews the snapshot. At once
+// is for a leader whose state other instances need to complete theirs. The caller
+// holds the lock.
+func (f *Feed) scheduleSnapshot(atOnce bool) {
+	first := time.Now()
+	if !atOnce {
+		first = first.Add(f.Retention / firstSnapshotShare)
+	}
+	if atOnce || f.snapshot.renewAt.Before(first) {
+		f.snapshot.renewAt = first
+	}
+}
+
 // snapshotLoop writes a snapshot whenever one is due, until the term ends. A
 // snapshot is due when the records since the last one have more bytes than it: a
-// starting instance then reads at most about twice the snapshot's size.
+// starting instance then reads at most about twice the snapshot's size. It is also
+// due when the last one is so old that the records after it might expire.
 func (f *Feed) snapshotLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		delay.For(ctx, snapshotCheckPeriod)
@@ -115,7 +141,7 @@
 func (f *Feed) writeDueSnapshot(ctx context.Context) error {
 	f.mu.Lock()
 	lag, next := f.snapshot.lag, f.next
-	if !f.caughtUp || f.readsFailing || lag <= max(f.snapshot.size, f.minSnapshotLag()) {
+	if !f.caughtUp || f.readsFailing || !f.snapshotDue() {
 		f.mu.Unlock()
 		return nil
 	}
@@ -137,10 +163,20 @@
 	defer f.mu.Unlock()
 	f.snapshot.lag -= lag
 	f.snapshot.size = len(data)
+	f.snapshot.renewAt = time.Now().Add(f.Retention / snapshotsPerRetention)
 	f.Logger.Info("snapshot written", zap.Uint64("offset", next), zap.Int("bytes", len(data)), zap.Int("lag", lag))
 	return nil
 }
 
+// snapshotDue reports whether the leader should write a snapshot. The caller holds
+// the lock.
+func (f *Feed) snapshotDue() bool {
+	if f.snapshot.lag > max(f.snapshot.size, f.minSnapshotLag()) {
+		return true
+	}
+	return f.Retention > 0 && !time.Now().Before(f.snapshot.renewAt)
+}
+
 // minSnapshotLag returns MinSnapshotLag or its default.
 func (f *Feed) minSnapshotLag() int {
 	if f.MinSnapshotLag > 0 {
--- a/internal/fleet/instance/expiry_test.go
+++ b/internal/fleet/instance/expiry_test.go
@@ -105,3 +105,36 @@
 		})
 	}
 }
+
+// Guards against the loss of accepted jobs when all instances restart while the log
+// is quiet: more jobs than are rewritten, and less records than make a snapshot due
+// by their size.
+func TestJobsOutlastQuietLog(t *testing.T) {
+	is := is.New(t)
+	runExpiringCluster(t, false, 1, func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		const jobs = 900
+		due := time.Now().Add(10 * time.Minute).UnixMilli()
+		for i := range jobs {
+			j := job(fmt.Sprint("j", i), ledger.Step{Count: 1, GPU: 1, Estimate: 300})
+			j.OccurrenceCount, j.FirstDue, j.Period = 1, due, 1000
+			is.True(c.submit(c.nodes[i%3], j))
+		}
+		time.Sleep(shortRetention + shortRetention/2)
+		for _, n := range c.nodes {
+			c.kill(n)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, n := range c.nodes {
+			c.start(n)
+		}
+		time.Sleep(5 * time.Second)
+		lost := 0
+		for i := range jobs {
+			if c.phase(c.nodes[i%3], fmt.Sprint("j", i)) == "" {
+				lost++
+			}
+		}
+		is.Equal(lost, 0)
+	})
+}
