Find an unknown epoch within a few claims

Seen: found by reading. After a long life of the deployment no instance leads for minutes.

Cause: the epoch that the store knows outlasts all records that name it.

Change: each claim that is refused as fenced raises the epoch four times further than the one before, until a record of a leader is read. The first refusal raises it by one as before. The epoch found is less than four times the one sought.

--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -30,6 +30,14 @@
 	// claimsPerRetention is how often a leader repeats its claim during the log's
 	// retention time, so that the retained records always tell who leads.
 	claimsPerRetention = 3
+
+	// fencedStepFactor is the factor by which a claim raises the epoch further than
+	// the one before it, while the log refuses one claim after another. An instance
+	// that knows no epoch at all so finds a high one within a few claims.
+	fencedStepFactor = 4
+
+	// maxFencedStep bounds this, so that epochs stay far below their limit.
+	maxFencedStep = 1 << 20
 )
 
 // term is the state of an epoch that this instance leads.
@@ -177,8 +185,9 @@
 	switch {
 	case errors.As(err, &fenced):
 		// The log may have fenced the epoch by a claim that had no effect on the
-		// state, so the next claim needs a higher one.
-		f.minClaimEpoch = epoch + 1
+		// state or has expired, so the next claim needs a higher one.
+		f.minClaimEpoch = epoch + f.fencedStep
+		f.fencedStep = min(fencedStepFactor*f.fencedStep, maxFencedStep)
 	case errors.As(err, &mismatch) && mismatch.End > next:
 		f.claimConflictEnd = mismatch.End
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -118,6 +118,7 @@
 	retired       bool          // this instance never claims again
 	noClaimBefore time.Time     // set by Yield, so that another instance leads
 	minClaimEpoch uint64        // lowest epoch for which the log may still accept a claim
+	fencedStep    uint64        // by how much the next fenced claim raises minClaimEpoch
 
 	lastResortEpoch uint64 // last epoch that was claimed although the state lacked records
 
@@ -187,6 +188,7 @@
 		f.changed = make(chan struct{})
 		f.syncSlot = make(chan struct{}, 1)
 		f.leaderSeen = time.Now()
+		f.fencedStep = 1
 	}
 	if f.Logger == nil {
 		f.Logger = zap.NewNop()
@@ -231,6 +233,7 @@
 		f.seenLeaderRecords = f.state.LeaderRecords
 		f.leaderSeen = now
 		f.claimConflictEnd = 0
+		f.fencedStep = 1
 	}
 	return len(p.Records), nil
 }
