--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
 // Guards against followers that read each record separately as soon as it is
@@ -74,6 +76,36 @@
 	}
 }
 
+// Guards against an instance that begins to lead with a state that lacks records,
+// because its claim takes effect after it has missed them.
+func TestOwnClaimWithIncompleteState(t *testing.T) {
+	tests := []struct {
+		name       string
+		missed     uint64 // records before this offset are missing
+		lastResort uint64 // epoch claimed as the last resort
+		leads      bool
+	}{
+		{"complete", 0, 0, true},
+		{"claimed before records were missed", 3, 0, false},
+		{"an earlier claim was the last resort", 3, 4, false},
+		{"claimed as the last resort", 3, 5, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &Feed{Instance: "n", Incarnation: "1"}
+			f.init()
+			f.next, f.missedBefore, f.lastResortEpoch = 3, tt.missed, tt.lastResort
+			data, err := ledger.Encode(f.claimRecord(5))
+			is.NoErr(err)
+			f.applyPage(Page{From: 3, Records: [][]byte{data}, End: 4})
+			is.Equal(f.term != nil, tt.leads)
+			is.Equal(f.checkComplete() == nil, tt.leads)
+			f.stepDown("end of the test")
+		})
+	}
+}
+
 // startFeed starts the feed and returns a function that stops it and waits for its
 // end.
 func startFeed(t *testing.T, f *Feed) (stop func()) {
