Return the phase of the state whose age was checked

A caller could be told that a job runs although its end had been read: Phase read the phase, then asked for the age of the state, and returned the phase that it had read before if the state was fresh by then. A read of the log that was answered between the two made an old phase look fresh. TestFreshPhase failed so once in four runs of the package with the race detector (running != done).

The phase is now read after the age.

--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -133,7 +134,7 @@
 func (n *Intake) Phase(ctx context.Context, id string) (ledger.Phase, error) {
 	phase, err := n.lookUp(ctx, id)
 	if phase != "" && !phase.Final() {
-		phase = n.refreshPhase(ctx, id, phase)
+		phase = cmp.Or(n.refreshPhase(ctx, id), phase)
 	}
 	if phase == "" {
 		n.Logger.Info("job not found", zap.String("job", id), zap.Uint64("offset", n.Feed.Status().Next), zap.Error(err))
@@ -150,18 +151,17 @@
 }
 
 // refreshPhase reads the log if the replicated state is older than
-// maxPhaseAge, and returns the job's phase after that. It returns the given
-// phase if the log cannot be read.
-func (n *Intake) refreshPhase(ctx context.Context, id string, phase ledger.Phase) ledger.Phase {
+// maxPhaseAge, and returns the job's phase after that. It is empty if the job has
+// left the state meanwhile.
+func (n *Intake) refreshPhase(ctx context.Context, id string) ledger.Phase {
 	st := n.Feed.Status()
 	if st.Age < maxPhaseAge || n.Feed.LogDown() {
-		return phase
+		return n.localPhase(id) // the state may have changed since the phase was read
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if err := n.Feed.Sync(ctx); err != nil {
 		n.Logger.Info("log read failed; the returned phase may be outdated", zap.String("job", id), zap.Duration("age", st.Age), zap.Error(err))
-		return phase
 	}
 	return n.localPhase(id)
 }
