Keep an orphan run whose first start is still being stored as ended

The late run is known as an orphan, but a report that showed it was matched with the run that is ending, and the orphan was dropped while it still ran. The worker counted as usable and the unit could start beside it for about the grace time of a stop.

A reported run that is known as an orphan stays one.

--- a/internal/fleet/leader/orphan_test.go
+++ b/internal/fleet/leader/orphan_test.go
@@ -163,3 +163,24 @@
 		})
 	}
 }
+
+// Guards against taking a late run for ended while the worker reports it, because the end of its first start is not stored yet.
+func TestLateOrphanOfEndingRunIsKept(t *testing.T) {
+	is := is.New(t)
+	l := testLeader()
+	w := newWorker("w", time.Now())
+	l.workers[w.id] = w
+	now := time.Now()
+	l.applyReport(w, Report{Incarnation: 1}, now, 0)
+	n := &run{key: runKey{TaskID{Job: "a"}, 1}, worker: w, unit: ledger.UnitID{Job: "a"}, incarnation: 1, endProposed: true,
+		proof: proof{openStarts: 1, startSentAt: now, settledAt: now, settledOn: 1}}
+	w.runs[n.key] = n
+	l.applyReport(w, Report{Incarnation: 2}, now.Add(time.Millisecond), 0)
+	o := w.orphans[n.key]
+	is.True(o != nil)
+	o.settle(2) // the worker has carried out the stop request
+	running := []RunningTask{{Task: n.key.task, Run: 1}}
+	l.applyReport(w, Report{Incarnation: 2, Running: running}, time.Now().Add(time.Millisecond), 0)
+	is.Equal(len(w.orphans), 1) // it stops, but has not ended
+	is.True(!w.usable(time.Now()))
+}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -32,9 +32,11 @@
 	for _, t := range rep.Running {
 		key := runKey{t.Task, t.Run}
 		present[key] = true
-		if n := w.runs[key]; n != nil {
+		n := w.runs[key]
+		if n != nil {
 			n.updateFromReport(t, rep.Incarnation)
-		} else {
+		}
+		if n == nil || w.orphans[key] != nil { // it may have started again while its end is being stored
 			orphans[key] = true
 		}
 	}
