Play late requests that reach the next incarnation of a worker

Requests name the worker, not the incarnation, so a start that got no answer may be carried out by the next incarnation under the same id, before its first report lets the leader stop it. Late requests of the fake workers ended with the incarnation, so no history showed this.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -88,6 +88,7 @@
 	Checker          *Checker
 	List             map[string]*Worker
 	DelayedRate      float64         // share of requests that take effect 2 s to 10 s later and are not answered
+	DelayedReachNext bool            // a delayed request also takes effect on the next incarnation of the worker
 	LostResponseRate float64         // share of requests that take effect but are not answered
 	RefusedRate      float64         // share of requests that are refused as unhealthy and take no effect
 	FailingJobs      map[string]bool // jobs of which every run fails
@@ -174,7 +175,8 @@
 		time.AfterFunc(wait, func() {
 			ws.mu.Lock()
 			defer ws.mu.Unlock()
-			if !w.Down && w.incarnation == incarnation {
+			sameWorker := w.incarnation == incarnation || ws.DelayedReachNext && w.ID == id
+			if !w.Down && sameWorker {
 				_ = apply(w, true)
 			}
 		})
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -55,6 +55,24 @@
 	return h.checkEnd()
 }
 
+// Guards against requests that are carried out by the next incarnation of a worker.
+func TestHistoriesOfLateRequests(t *testing.T) {
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var violations []string
+			r := runCluster(t, seed, 3, 8, func(c *cluster) {
+				c.workers.WithLock(func() { c.workers.DelayedReachNext = true })
+				violations = playHistory(c, seed)
+			})
+			for _, v := range append(r.Violations, violations...) {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 // history generates the load and the faults of one history.
 type history struct {
 	c         *cluster
