--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -112,7 +112,7 @@
 		w.wakeSession()
 		return true
 	case errors.As(err, &refused):
-		l.Logger.Info("worker refused start", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)))
+		l.Logger.Info("worker refused start", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("reason", string(refused.Reason)), zap.Int("try", try), zap.Int("unanswered", n.openStarts))
 		l.startRefused(w, n, refused.Reason)
 		return true
 	case l.ctx.Err() != nil:
