Say finished of a delivery and settled of a run

Both were called settled, which the review of the change stumbled over. The test of a step to stop a run has a name. No change of behaviour.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -40,18 +40,18 @@
 		if !ok {
 			return
 		}
-		settled, pause := l.tryStart(w, n, req, try)
+		finished, pause := l.tryStart(w, n, req, try)
 		release()
-		if settled {
+		if finished {
 			return
 		}
 		delay.For(l.ctx, pause)
 	}
 }
 
-// tryStart sends a start request once. It reports whether the request is
-// settled, and otherwise how long to wait before the next attempt.
-func (l *Leader) tryStart(w *worker, n *run, req StartRequest, try int) (settled bool, pause time.Duration) {
+// tryStart sends a start request once. It reports whether the delivery is
+// finished, and otherwise how long to wait before the next attempt.
+func (l *Leader) tryStart(w *worker, n *run, req StartRequest, try int) (finished bool, pause time.Duration) {
 	l.mu.Lock()
 	if n.stopping || n.endProposed || n.reported || w.runs[n.key] != n {
 		l.mu.Unlock()
@@ -99,7 +99,7 @@
 }
 
 // recordStartAnswer records the answer of an incarnation of a worker to a start
-// request and reports whether the request is settled.
+// request and reports whether the delivery is finished.
 func (l *Leader) recordStartAnswer(w *worker, n *run, try int, incarnation int64, err error) bool {
 	var refused *RefusedError
 	l.mu.Lock()
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -77,18 +77,23 @@
 	return p.settled() && !requested.Before(p.settledAt)
 }
 
+// settledByStop reports whether nothing but the stop request settled the run, so
+// that the worker may have no end of it to report.
+func (p *proof) settledByStop() bool { return !p.settledAt.Before(p.stoppedAt) }
+
 // neverStarted reports whether the run certainly has not started and will not
 // start unless another request is sent.
 func (p *proof) neverStarted() bool { return p.openStarts == 0 && !p.settled() }
 
 // mayStartOn reports whether a start request without an answer may still reach an
-// incarnation for which the run is not settled. Requests name the worker only.
+// incarnation for which the run is not settled. Requests name the worker only. It
+// has no limit of time, because a run that has not ended can wait for a proof.
 func (p *proof) mayStartOn(incarnation int64) bool {
 	return p.openStarts > 0 && p.settledOn != incarnation
 }
 
 // mayStartLate reports whether a start request without an answer may still reach
-// the worker's next incarnation.
+// the worker's next incarnation. Ended runs are not remembered for longer.
 func (p *proof) mayStartLate() bool {
 	return p.openStarts > 0 && time.Since(p.startSentAt) < maxRequestDelay
 }
@@ -113,7 +118,7 @@
 		return stopWait
 	case n.stoppedAt.IsZero() || n.stoppedOn != w.incarnation:
 		return stopRequest
-	case !n.settledAt.Before(n.stoppedAt) && !w.reportSentAt.After(n.settledAt):
+	case n.settledByStop() && !w.reportSentAt.After(n.settledAt):
 		return stopReport
 	}
 	return stopWait
