--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -40,14 +40,6 @@
 	// retryPause is the pause after a failed read.
 	retryPause = 120 * time.Millisecond
 
-	// probeTimeout bounds the read that tests whether an unavailable log is
-	// readable again.
-	probeTimeout = 60 * time.Millisecond
-
-	// StaleAfter is the time since the last successful read after which the
-	// state is stale.
-	StaleAfter = 2 * time.Second
-
 	// endedJobRetention is how long ended jobs are kept in memory.
 	endedJobRetention = 4 * time.Minute
 
@@ -329,54 +321,6 @@
 	f.state.DropEnded(time.Now().Add(-endedJobRetention).UnixMilli())
 }
 
-// Status describes how current the state of a Feed is.
-type Status struct {
-	CaughtUp bool          // the log has been read to its end once
-	Age      time.Duration // time since the last successful read
-	Next     uint64        // offset of the next record to apply
-	Epoch    uint64
-	Leader   string
-}
-
-// Fresh reports whether the state is recent enough to contain all accepted jobs
-// except the newest ones.
-func (s Status) Fresh() bool { return s.CaughtUp && s.Age < StaleAfter }
-
-// Status reports how current the state is.
-func (f *Feed) Status() Status {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.init()
-	return Status{f.caughtUp, time.Since(f.lastRead), f.next, f.state.Epoch, f.state.Leader.Instance}
-}
-
-// LogDown reports whether the last read of the log failed.
-func (f *Feed) LogDown() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.readsFailing
-}
-
-// ProbeLog reads the log once, with a short timeout, and reports whether the
-// read succeeded.
-func (f *Feed) ProbeLog(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	_, err := f.poll(ctx, 0)
-	return err == nil
-}
-
-// Outage returns how long reads of the log have been failing. It is 0 if the
-// last read succeeded.
-func (f *Feed) Outage() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.readsFailing {
-		return 0
-	}
-	return time.Since(f.failingSince)
-}
-
 // View calls g with the state while its lock is held. g must not modify the
 // state or keep a reference to it.
 func (f *Feed) View(g func(s *ledger.State)) {
@@ -400,65 +344,6 @@
 	return f.changed
 }
 
-// Sync reads the log to its current end. If Run has not read the log to its end
-// yet, Sync first waits for Run, because reading the same records a second time
-// would need as much bandwidth again. It does not wait while reads of the log
-// fail. It returns *IncompleteError if the state then still lacks records.
-func (f *Feed) Sync(ctx context.Context) error {
-	if err := f.awaitCaughtUp(ctx); err != nil {
-		return err
-	}
-	select {
-	case f.syncSlot <- struct{}{}:
-		defer func() { <-f.syncSlot }()
-	case <-ctx.Done():
-		return &ReadError{ctx.Err()}
-	}
-	for {
-		n, err := f.poll(ctx, 0)
-		if err != nil {
-			return err
-		}
-		if n == 0 || f.atEnd() {
-			return f.checkComplete()
-		}
-	}
-}
-
-// checkComplete returns *IncompleteError if the state lacks records.
-func (f *Feed) checkComplete() error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.missedBefore > 0 {
-		return &IncompleteError{f.missedBefore}
-	}
-	return nil
-}
-
-// awaitCaughtUp waits until the log has been read to its end once, or until reads
-// fail.
-func (f *Feed) awaitCaughtUp(ctx context.Context) error {
-	for {
-		changed := f.Changed()
-		if f.Status().CaughtUp || f.LogDown() {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return &ReadError{ctx.Err()}
-		}
-	}
-}
-
-// atEnd reports whether the state includes all records up to the end of the log
-// at the last read.
-func (f *Feed) atEnd() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.next >= f.logEnd
-}
-
 // Write appends a record that need not come from the leader. If it returns an
 // error other than *UncertainError, the record was certainly not appended.
 func (f *Feed) Write(ctx context.Context, r ledger.Record) error {
