Take a peer's refusal for the answer to the peer's call only

A caller could be told that a job has not run although its submission was still carried out: if a direct write to the store had no answer and the store refused the same write to a peer, for example with 429 or 409, the refusal was returned as if it spoke of both calls. The store may carry the first one out seconds later.

Such a write now fails as unanswered, so its outcome is unknown. Reads and writes that the peer carried out are returned as before. Result: two of the six new cases of TestDo failed before (429 and 409 instead of the error), all pass after.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -43,12 +43,18 @@
 	Body        []byte
 }
 
+// writes reports whether the call may change the store.
+func (c Call) writes() bool { return c.Method != http.MethodGet }
+
 // Reply is the store's answer to a call.
 type Reply struct {
 	Status int
 	Body   []byte
 }
 
+// ok reports whether the store made the call.
+func (r Reply) ok() bool { return r.Status >= 200 && r.Status < 300 }
+
 // Relay calls the store, directly or through a peer. The exported fields are
 // set before use.
 type Relay struct {
@@ -81,6 +87,7 @@
 
 // Do makes a call to the store, directly if possible and otherwise through a
 // peer. The boolean is false only if the call certainly did not reach the store.
+// Do fails if a peer's write was refused after a direct one had no answer.
 func (r *Relay) Do(ctx context.Context, c Call) (Reply, bool, error) {
 	if r.directUp() || r.awaitProbe(ctx) || len(r.PeerAddrs()) == 0 {
 		rep, sent, err := r.CallDirect(ctx, c)
@@ -88,7 +95,10 @@
 			return rep, sent, err
 		}
 		relayed, peerSent, peerErr := r.callThroughPeer(ctx, c)
+		unanswered := err != nil && sent
 		switch {
+		case peerErr == nil && unanswered && c.writes() && !relayed.ok():
+			return Reply{}, true, err // the refusal says nothing of the direct call, which may still be made
 		case peerErr == nil:
 			return relayed, true, nil
 		case err == nil && peerSent:
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -18,8 +18,11 @@
 // a call that is reported as not sent although it may have been.
 func TestDo(t *testing.T) {
 	ok, busy := Reply{Status: http.StatusOK}, Reply{Status: http.StatusServiceUnavailable}
+	limited, conflict, gone := Reply{Status: http.StatusTooManyRequests}, Reply{Status: http.StatusConflict}, Reply{Status: http.StatusGone}
+	write := Call{Method: http.MethodPost}
 	tests := []struct {
 		name                 string
+		call                 Call
 		direct, peer         Reply
 		directErr, peerErr   error
 		directSent, peerSent bool
@@ -27,14 +30,20 @@
 		sent                 bool
 		err                  error
 	}{
-		{"direct", ok, busy, nil, nil, true, true, ok, true, nil},
-		{"turned away", busy, ok, nil, nil, true, true, ok, true, nil},
-		{"reset, peer helps", Reply{}, ok, errReset, nil, true, true, ok, true, nil},
-		{"not sent, peer turned away too", Reply{}, busy, errReset, nil, false, true, Reply{}, false, errReset},
-		{"not sent, peer did not answer", Reply{}, Reply{}, errReset, errReset, false, true, Reply{}, true, errReset},
-		{"turned away, peer turned away too", busy, busy, nil, nil, true, true, busy, true, nil},
-		{"turned away, peer not reached", busy, Reply{}, nil, errReset, true, false, busy, true, nil},
-		{"turned away, peer did not answer", busy, Reply{}, nil, errReset, true, true, Reply{}, true, errReset},
+		{"direct", Call{}, ok, busy, nil, nil, true, true, ok, true, nil},
+		{"turned away", Call{}, busy, ok, nil, nil, true, true, ok, true, nil},
+		{"reset, peer helps", Call{}, Reply{}, ok, errReset, nil, true, true, ok, true, nil},
+		{"not sent, peer turned away too", Call{}, Reply{}, busy, errReset, nil, false, true, Reply{}, false, errReset},
+		{"not sent, peer did not answer", Call{}, Reply{}, Reply{}, errReset, errReset, false, true, Reply{}, true, errReset},
+		{"turned away, peer turned away too", Call{}, busy, busy, nil, nil, true, true, busy, true, nil},
+		{"turned away, peer not reached", Call{}, busy, Reply{}, nil, errReset, true, false, busy, true, nil},
+		{"turned away, peer did not answer", Call{}, busy, Reply{}, nil, errReset, true, true, Reply{}, true, errReset},
+		{"append without answer, then refused to the peer", write, Reply{}, limited, errReset, nil, true, true, Reply{}, true, errReset},
+		{"append without answer, then in conflict for the peer", write, Reply{}, conflict, errReset, nil, true, true, Reply{}, true, errReset},
+		{"append without answer, then done by the peer", write, Reply{}, ok, errReset, nil, true, true, ok, true, nil},
+		{"append not sent, then refused to the peer", write, Reply{}, limited, errReset, nil, false, true, limited, true, nil},
+		{"append turned away, then in conflict for the peer", write, busy, conflict, nil, nil, true, true, conflict, true, nil},
+		{"read without answer, then answered to the peer", Call{Method: http.MethodGet}, Reply{}, gone, errReset, nil, true, true, gone, true, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -45,7 +54,7 @@
 				PeerAddrs:  func() []string { return []string{"p"} },
 				Logger:     zap.NewNop(),
 			}
-			got, sent, err := r.Do(context.Background(), Call{})
+			got, sent, err := r.Do(context.Background(), tt.call)
 			is.Equal(got.Status, tt.want.Status)
 			is.Equal(err, tt.err)
 			is.Equal(sent, tt.sent)
