Give each incarnation of a worker a fencing token of its own

An executor may start again under the id that it had; requests name the id only, so a request without an answer that is carried out seconds later may reach the new incarnation, which knows of no run, no stop and no epoch before it. The leader remembered start requests without an answer for 15 s and stopped each of them on a new incarnation, with requests of the same kind, and nothing covered syncs that acknowledge ends late.

The token of a request now rises with the epoch and, within it, with each incarnation that the leader sees of the worker. A report that shows a new incarnation proves no more than that; the next sync has the raised token, and once it is answered the incarnation refuses by number all that was sent before, also by earlier leaders. A run that its report lacks can then never start there, so it ends at once. What made up for this before is gone: runs kept after their end, orphans that were only feared, outcomes decided ahead of the end, the incarnation for which a run was settled.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -70,7 +70,7 @@
 
 	incarnation  int64
 	bootedAt     time.Time
-	epoch        uint64
+	token        uint64 // highest fencing token that it has seen
 	leaseEnd     int64
 	runs         map[leader.TaskID]*taskRun
 	highestRun   map[leader.TaskID]int // highest run number that ended or was stopped here
@@ -132,7 +132,7 @@
 func (ws *Workers) boot(w *Worker) {
 	w.incarnation = time.Now().UnixMilli()
 	w.bootedAt = time.Now()
-	w.epoch, w.leaseEnd, w.lastSeq = 0, 0, 0
+	w.token, w.leaseEnd, w.lastSeq = 0, 0, 0
 	w.runs = make(map[leader.TaskID]*taskRun)
 	w.highestRun = make(map[leader.TaskID]int)
 	w.ended = nil
@@ -196,10 +196,10 @@
 // Start serves a start request of the instance.
 func (ws *Workers) Start(ctx context.Context, instance string, t leader.Target, o leader.StartRequest) error {
 	return ws.deliver(ctx, instance, t.ID, func(w *Worker, late bool) error {
-		if t.Epoch < w.epoch {
-			return &leader.RefusedError{Reason: leader.RefusedStaleEpoch}
+		if t.Token < w.token {
+			return &leader.RefusedError{Reason: leader.RefusedStaleToken}
 		}
-		w.epoch = t.Epoch
+		w.token = t.Token
 		if r := w.runs[o.Task]; r != nil && r.run == o.Run {
 			return nil
 		}
@@ -224,10 +224,10 @@
 // Stop serves a stop request of the instance.
 func (ws *Workers) Stop(ctx context.Context, instance string, t leader.Target, o leader.StopRequest) error {
 	return ws.deliver(ctx, instance, t.ID, func(w *Worker, _ bool) error {
-		if t.Epoch < w.epoch {
-			return &leader.RefusedError{Reason: leader.RefusedStaleEpoch}
+		if t.Token < w.token {
+			return &leader.RefusedError{Reason: leader.RefusedStaleToken}
 		}
-		w.epoch = t.Epoch
+		w.token = t.Token
 		w.highestRun[o.Task] = max(w.highestRun[o.Task], o.Run)
 		if r := w.runs[o.Task]; r != nil && r.run <= o.Run && r.stopAt.IsZero() {
 			r.stopAt = time.Now().Add(StopGrace)
@@ -243,10 +243,10 @@
 	for {
 		var changed chan struct{}
 		err := ws.deliver(ctx, instance, t.ID, func(w *Worker, _ bool) error {
-			if t.Epoch < w.epoch {
-				return &leader.RefusedError{Reason: leader.RefusedStaleEpoch}
+			if t.Token < w.token {
+				return &leader.RefusedError{Reason: leader.RefusedStaleToken}
 			}
-			w.epoch = t.Epoch
+			w.token = t.Token
 			ws.acknowledge(w, o.Ack)
 			if o.LeaseEnd > 0 {
 				w.leaseEnd = max(w.leaseEnd, min(o.LeaseEnd, w.clockMs()+MaxLease.Milliseconds()))
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -83,9 +83,9 @@
 		}
 		return false, pause
 	}
-	t, incarnation := l.target(w), w.incarnation
+	t := l.target(w)
 	req.LeaseEnd = w.extendLease(l.Bounds.Lease)
-	n.openStarts, n.startSentAt = n.openStarts+1, time.Now()
+	n.openStarts, n.startSentAt, n.startToken = n.openStarts+1, time.Now(), t.Token
 	delete(l.unsentStarts, n)
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
@@ -95,16 +95,16 @@
 	if try > 1 {
 		pause = startRetryInterval - time.Since(sent)
 	}
-	return l.recordStartAnswer(w, n, try, incarnation, err), pause
+	return l.recordStartAnswer(w, n, try, err), pause
 }
 
-// recordStartAnswer records the answer of an incarnation of a worker to a start
-// request and reports whether the delivery is finished.
-func (l *Leader) recordStartAnswer(w *worker, n *run, try int, incarnation int64, err error) bool {
+// recordStartAnswer records the answer of a worker to a start request and reports
+// whether the delivery is finished.
+func (l *Leader) recordStartAnswer(w *worker, n *run, try int, err error) bool {
 	var refused *RefusedError
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n.recordAnswer(settledBy(err), incarnation)
+	n.recordAnswer(settledBy(err))
 	switch {
 	case err == nil:
 		n.accepted = true
@@ -130,8 +130,8 @@
 // caller holds l.mu.
 func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
-	case RefusedStaleEpoch:
-		return // this leader learns of the newer epoch from the log
+	case RefusedStaleToken:
+		return // the log tells of a newer leader, a report of the worker's new incarnation
 	case RefusedStaleRun:
 		w.wakeSession() // the next report says how the run ended
 	case RefusedUnhealthy, RefusedIncarnation:
@@ -218,7 +218,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n.stoppedAt, n.stoppedOn = time.Now(), incarnation
-	n.settle(incarnation)
+	n.settle()
 	return true
 }
 
@@ -235,18 +235,20 @@
 // requestReport requests a report at once and reports whether the worker answered.
 // It does so beside the session, whose sync may wait for a run to end.
 func (l *Leader) requestReport(w *worker) bool {
-	l.mu.Lock()
-	t := l.target(w)
-	ack := w.safeAck(time.Now())
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
-	defer cancel()
-	sent := time.Now()
-	rep, err := l.Client.Sync(ctx, t, SyncRequest{Ack: ack})
-	if err != nil {
-		w.wakeSession() // the session syncs again
-		return false
+	for restarted := true; restarted; {
+		l.mu.Lock()
+		t := l.target(w)
+		ack := w.safeAck(time.Now())
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
+		sent := time.Now()
+		rep, err := l.Client.Sync(ctx, t, SyncRequest{Ack: ack})
+		cancel()
+		if err != nil {
+			w.wakeSession() // the session syncs again
+			return false
+		}
+		restarted = l.applyReport(w, rep, syncExchange{t.Token, sent, ack})
 	}
-	l.applyReport(w, rep, sent, ack)
 	return true
 }
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -64,16 +64,15 @@
 	worker      *worker
 	unit        ledger.UnitID
 	member      int
-	incarnation int64 // of the worker for which it was decided; 0 is unknown
+	incarnation int64 // of the worker for which it was decided, or which reported it; 0 is unknown
 	startedAt   time.Time
 	accepted    bool // the worker answered that it started the run
 	reported    bool // the worker has reported it as running
 	checkpoint  string
 	progress    progressSample
 	stopping    bool
-	removed     bool              // no longer among the runs of its worker
-	lossOutcome ledger.RunOutcome // outcome if it ends as lost; empty while undecided
-	endProposed bool              // a record of its end has been proposed
+	removed     bool // no longer among the runs of its worker
+	endProposed bool // a record of its end has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
@@ -143,7 +142,6 @@
 // removeRun removes a run from its worker. The caller holds l.mu.
 func (l *Leader) removeRun(n *run) {
 	n.removed = true
-	n.worker.keepLate(n)
 	delete(n.worker.runs, n.key)
 	delete(l.unsentStarts, n)
 	rest := slices.DeleteFunc(l.unitRuns[n.unit], func(o *run) bool { return o == n })
--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -39,34 +39,23 @@
 // endLost marks lost runs of a worker as ending and returns the records of their
 // ends. The caller holds l.mu.
 func (l *Leader) endLost(w *worker, lost []*run, cause lossCause, now time.Time) []ledger.Record {
-	decideOutcomes(w, lost, cause)
+	suspects := crashSuspects(w, lost, cause)
 	var records []ledger.Record
 	for _, n := range lost {
+		outcome := ledger.WorkerLost
+		if suspects[n] {
+			outcome = ledger.WorkerCrashed
+		}
 		l.Logger.Info("run lost", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member),
-			zap.String("cause", string(cause)), zap.Bool("suspect", n.lossOutcome == ledger.WorkerCrashed), zap.Bool("reported", n.reported),
+			zap.String("cause", string(cause)), zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported),
 			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
-		r := l.endRun(n, n.lossOutcome, n.checkpoint, now)
+		r := l.endRun(n, outcome, n.checkpoint, now)
 		r.End.Prompt = cause != lossUnreachable && n.accepted && !n.reported
 		records = append(records, r)
 	}
 	return records
 }
 
-// decideOutcomes decides the outcomes of runs that are lost together, except where
-// that has been done before.
-func decideOutcomes(w *worker, lost []*run, cause lossCause) {
-	suspects := crashSuspects(w, lost, cause)
-	for _, n := range lost {
-		switch {
-		case n.lossOutcome != "":
-		case suspects[n]:
-			n.lossOutcome = ledger.WorkerCrashed
-		default:
-			n.lossOutcome = ledger.WorkerLost
-		}
-	}
-}
-
 // crashSuspects returns the lost runs that may have crashed their worker. A task
 // that crashes workers usually does so when it starts, so runs that the worker
 // never reported are suspected before all others.
--- a/internal/fleet/leader/orphan.go
+++ b/internal/fleet/leader/orphan.go
@@ -1,22 +1,17 @@
 package leader
 
 import (
-	"slices"
 	"time"
 
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
-// maxRequestDelay is how long after it was sent a request without an answer may
-// still be carried out.
-const maxRequestDelay = 15 * time.Second
-
 // updateOrphans updates the worker's orphan runs from a report that was requested
 // at the given time, and returns those that are new. reported has the running runs
 // that the state does not have.
 func (w *worker) updateOrphans(reported map[runKey]bool, requested time.Time) []*run {
 	for key, n := range w.orphans {
-		if !reported[key] && n.settledBefore(requested) && !n.mayStartOn(w.incarnation) {
+		if !reported[key] && n.settledBefore(requested) {
 			n.removed = true
 			delete(w.orphans, key)
 		}
@@ -30,7 +25,7 @@
 			continue
 		}
 		n := &run{key: key, worker: w}
-		n.settle(w.incarnation)
+		n.settle()
 		w.orphans[key] = n
 		found = append(found, n)
 	}
@@ -45,41 +40,6 @@
 	clear(w.orphans)
 }
 
-// keepLate remembers a removed run if a start request without an answer may still
-// reach the worker's next incarnation.
-func (w *worker) keepLate(n *run) {
-	w.late = slices.DeleteFunc(w.late, func(o *run) bool { return !o.mayStartLate() })
-	if n.mayStartLate() {
-		w.late = append(w.late, n)
-	}
-}
-
-// addLateOrphans adds and returns orphan runs for the ended runs that may still
-// start on a new incarnation of the worker.
-func (w *worker) addLateOrphans() []*run {
-	var orphans []*run
-	for _, n := range append(w.endingRuns(), w.late...) {
-		if !n.mayStartLate() {
-			continue
-		}
-		o := &run{key: n.key, worker: w, proof: proof{openStarts: n.openStarts}}
-		w.orphans[n.key] = o
-		orphans = append(orphans, o)
-	}
-	return orphans
-}
-
-// endingRuns returns the worker's runs whose end is proposed and not yet stored.
-func (w *worker) endingRuns() []*run {
-	var out []*run
-	for _, n := range w.runs {
-		if n.endProposed {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // orphanUnits returns the units of which a task runs on a worker as an orphan run.
 // The caller holds the feed's lock and l.mu.
 func (l *Leader) orphanUnits(s *ledger.State) map[ledger.UnitID]bool {
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -47,7 +47,7 @@
 type Target struct {
 	ID    string
 	Addr  string
-	Epoch uint64 // fencing token: workers refuse requests of lower epochs
+	Token uint64 // fencing token: a worker refuses requests with a lower one than it has seen
 }
 
 // StartRequest asks a worker to run a task.
@@ -111,7 +111,7 @@
 
 // The reasons of refusals.
 const (
-	RefusedStaleEpoch  Refusal = "fence"  // the worker has seen a higher epoch
+	RefusedStaleToken  Refusal = "fence"  // the worker has seen a higher fencing token
 	RefusedStaleRun    Refusal = "old"    // this or a later run of the task has ended or been stopped on the worker
 	RefusedLeaseEnded  Refusal = "late"   // the lease has already ended
 	RefusedCapacity    Refusal = "room"   // the worker does not have the resources
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,36 +8,43 @@
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
+// syncExchange describes the sync request that a report answers.
+type syncExchange struct {
+	token uint64    // fencing token of the request
+	sent  time.Time // when it was sent
+	acked uint64    // the last end that it acknowledged
+}
+
 // applyReport updates the leader's view of the worker from its report. It
-// proposes the ends of runs and stops orphan runs. sent is when the report was
-// requested, and acked the last end that the request acknowledged.
-func (l *Leader) applyReport(w *worker, rep Report, sent time.Time, acked uint64) {
+// proposes the ends of runs and stops orphan runs. It reports whether the worker
+// has restarted: such a report says nothing more, since the new incarnation
+// carries out requests to earlier ones until a request with its token reaches it.
+func (l *Leader) applyReport(w *worker, rep Report, ex syncExchange) (restarted bool) {
 	l.mu.Lock()
-	if w.contacted && w.incarnation != rep.Incarnation && sent.Before(w.reportSentAt) {
+	switch {
+	case ex.token != l.target(w).Token:
 		l.mu.Unlock()
-		return // of an earlier incarnation; its ends are numbered differently
+		return false // it may be of an earlier incarnation
+	case w.incarnation != 0 && w.incarnation != rep.Incarnation:
+		l.recordRestart(w, rep.Incarnation)
+		l.mu.Unlock()
+		return true
 	}
 	var records []ledger.Record
 	now := time.Now()
-	restarted := w.contacted && w.incarnation != rep.Incarnation
-	var stops []*run
-	if restarted {
-		stops = l.recordRestart(w, rep.Incarnation)
-	}
-	l.recordContact(w, rep, sent, now)
-	w.dropAcknowledged(acked)
+	l.recordContact(w, rep, ex.sent, now)
+	w.dropAcknowledged(ex.acked)
 	present := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
 	orphans := make(map[runKey]bool)
 	for _, t := range rep.Running {
 		key := runKey{t.Task, t.Run}
 		present[key] = true
 		n := w.runs[key]
-		if n != nil {
-			n.updateFromReport(t, rep.Incarnation)
-		}
-		if n == nil || w.orphans[key] != nil { // it may have started again while its end is being stored
+		if n == nil || n.endProposed && n.incarnation != rep.Incarnation { // it has started again while its end is being stored
 			orphans[key] = true
+			continue
 		}
+		n.updateFromReport(t, rep.Incarnation)
 	}
 	for _, t := range rep.Ended {
 		key := runKey{t.Task, t.Run}
@@ -49,25 +55,28 @@
 		}
 	}
 	if len(rep.Ended) < MaxReportedEnds { // otherwise further runs may have ended
-		records = append(records, l.endAbsent(w, present, restarted, sent, now)...)
+		records = append(records, l.endAbsent(w, present, ex.sent, now)...)
 	}
-	stops = append(stops, w.updateOrphans(orphans, sent)...)
+	found := w.updateOrphans(orphans, ex.sent)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
-	for _, n := range stops {
+	for _, n := range found {
 		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run))
 		go l.deliverStop(w, n)
 	}
+	return false
 }
 
-// recordRestart updates the worker for a new incarnation and returns the orphan
-// runs that may start on it. The caller holds l.mu.
-func (l *Leader) recordRestart(w *worker, incarnation int64) []*run {
+// recordRestart updates the worker for a new incarnation, which the next sync
+// contacts with a token of its own. The caller holds l.mu.
+func (l *Leader) recordRestart(w *worker, incarnation int64) {
 	l.Logger.Info("worker restarted", zap.String("worker", w.id), zap.Int64("born", incarnation), zap.Int("runs", len(w.runs)))
+	w.contacted = false
+	w.generation++
+	w.incarnation = incarnation
 	w.ends = nil
 	w.lastEndSeq = 0
 	w.dropOrphans()
-	return w.addLateOrphans()
 }
 
 // recordContact updates the worker from the figures of a report that was requested
@@ -76,7 +85,8 @@
 	w.incarnation = rep.Incarnation
 	if !w.contacted {
 		w.contacted = true
-		// From now on the worker refuses renewals by earlier leaders.
+		// From now on the worker refuses renewals by earlier leaders and those
+		// that were sent to its earlier incarnations.
 		w.leasesEnd = now.Add(maxLeaseTime(l.Bounds.Lease))
 		l.wakePlanner()
 	}
@@ -87,33 +97,30 @@
 	}
 }
 
-// endAbsent returns records of the ends of the runs that the worker's newest
-// report proves to be lost, and stops the units of those that may still start on the
-// worker's new incarnation. present has the reported runs. The caller holds l.mu.
-func (l *Leader) endAbsent(w *worker, present map[runKey]bool, restarted bool, sent, now time.Time) []ledger.Record {
-	var missing, crashed, maybeLate []*run
+// endAbsent returns records of the ends of the runs that the worker's report proves
+// to be lost. present has the reported runs. The caller holds l.mu.
+func (l *Leader) endAbsent(w *worker, present map[runKey]bool, sent, now time.Time) []ledger.Record {
+	var missing, crashed []*run
+	token := l.target(w).Token
 	for _, n := range w.unendedRuns() {
 		switch {
-		case present[n.key] || !n.settledBefore(sent):
-		case n.mayStartOn(w.incarnation):
-			maybeLate = append(maybeLate, n)
-		case restarted || n.incarnation != 0 && n.incarnation != w.incarnation:
+		case present[n.key]:
+		case n.refusedFrom(token):
+			crashed = append(crashed, n)
+		case !n.settledBefore(sent):
+		case n.incarnation != 0 && n.incarnation != w.incarnation:
 			crashed = append(crashed, n)
 		default:
 			missing = append(missing, n)
 		}
 	}
-	decideOutcomes(w, slices.Concat(crashed, maybeLate), lossRestarted)
-	for _, n := range maybeLate {
-		l.stopUnit(n.unit, "worker restarted")
-	}
 	return append(l.endLost(w, missing, lossMissing, now), l.endLost(w, crashed, lossRestarted, now)...)
 }
 
 // updateFromReport updates the run from the report of an incarnation of the worker.
 func (n *run) updateFromReport(t RunningTask, incarnation int64) {
-	n.settle(incarnation)
-	n.reported, n.lossOutcome = true, ""
+	n.settle()
+	n.reported, n.incarnation = true, incarnation
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
 		n.checkpoint = t.Checkpoint
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -114,10 +114,10 @@
 	sent := time.Now()
 	rep, err := l.Client.Sync(ctx, t, req)
 	if err != nil {
-		l.syncFailed(w, answered, err)
+		l.syncFailed(w, t, answered, err)
 		return false
 	}
-	l.applyReport(w, rep, sent, req.Ack)
+	l.applyReport(w, rep, syncExchange{t.Token, sent, req.Ack})
 	return true
 }
 
@@ -128,23 +128,21 @@
 	return l.Feed.Status().Age < staleLeaderTime
 }
 
-// target returns the recipient of requests to the worker. The caller holds l.mu.
-func (l *Leader) target(w *worker) Target {
-	return Target{ID: w.id, Addr: w.entry.Addr, Epoch: l.Epoch}
-}
-
-// syncFailed marks the worker as unresponsive. firstFailure reports whether the
-// sync before succeeded.
-func (l *Leader) syncFailed(w *worker, firstFailure bool, err error) {
+// syncFailed marks the worker as unresponsive, unless another request to it had a
+// newer fencing token. firstFailure reports whether the sync before succeeded.
+func (l *Leader) syncFailed(w *worker, t Target, firstFailure bool, err error) {
 	if l.ctx.Err() != nil {
 		return
 	}
-	var refused *RefusedError
-	if errors.As(err, &refused) && refused.Reason == RefusedStaleEpoch {
-		l.Logger.Warn("worker refused the sync: it has seen a higher epoch", zap.String("worker", w.id), zap.Uint64("epoch", l.Epoch))
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Reason == RefusedStaleToken {
+		if t.Token < l.target(w).Token {
+			return
+		}
+		l.Logger.Warn("worker refused the sync: it has seen a higher fencing token", zap.String("worker", w.id), zap.Uint64("epoch", l.Epoch), zap.Uint64("token", t.Token))
+	}
 	w.unresponsive = true
 	if firstFailure {
 		l.Logger.Info("worker does not answer", zap.String("worker", w.id), zap.Int("runs", len(w.runs)), zap.Duration("lease", time.Until(w.leasesEnd)), zap.Error(err))
@@ -156,7 +154,7 @@
 func (l *Leader) expireLeases(w *worker) {
 	now := time.Now()
 	leasesEnd := w.leasesEnd
-	if gone := l.startedAt.Add(maxLeaseTime(l.Bounds.Lease)); !w.contacted && !w.listed && leasesEnd.After(gone) {
+	if gone := l.startedAt.Add(maxLeaseTime(l.Bounds.Lease)); w.incarnation == 0 && !w.listed && leasesEnd.After(gone) {
 		leasesEnd = gone // the platform does not list it any more
 	}
 	if !w.busy() || now.Before(leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -50,10 +50,11 @@
 	knownSince  time.Time // when this leader first saw it
 	absentLists int       // consecutive lists of machines without it
 
-	unresponsive bool  // did not answer the last sync
-	contacted    bool  // has answered a sync in this epoch
-	incarnation  int64 // of the last answer
-	clockMs      int64 // reading of the worker's clock at clockAt
+	unresponsive bool   // did not answer the last sync
+	contacted    bool   // its incarnation has answered a sync with the present fencing token
+	generation   uint64 // number of restarts that this leader has seen
+	incarnation  int64  // of the last answer
+	clockMs      int64  // reading of the worker's clock at clockAt
 	clockAt      time.Time
 	lastAnswer   time.Time // when the last sync was answered
 	reportSentAt time.Time // when the newest of its reports was requested
@@ -63,7 +64,6 @@
 
 	runs       map[runKey]*run
 	orphans    map[runKey]*run      // runs that the state does not have
-	late       []*run               // removed runs that a request may still start
 	ends       []reportedEnd        // reported ends that are not acknowledged yet, by seq
 	lastEndSeq uint64               // highest seq reported
 	failedJobs map[string]time.Time // jobs with failed runs on it, with the time of the last failure
