Tell a request to a worker that was not sent from one without an answer

A start request that met a closed port, or a connection that was not established in time, counted as one that may still be carried out. Its run was stopped with requests to a worker that is gone, and kept its unit and its room until the worker's lease ended or the list of machines lacked it. It also was suspected of the crash of a worker that it had never reached.

The fake workers refuse connections while they are down.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -36,7 +36,10 @@
 // Error returns the worker's ID.
 func (e *UnknownWorkerError) Error() string { return "no worker " + e.Worker }
 
-var errNoAnswer = errors.New("no answer")
+var (
+	errNoAnswer    = errors.New("no answer")
+	errRefusedConn = errors.New("connection refused")
+)
 
 // taskRun is one run of one task on a worker.
 type taskRun struct {
@@ -152,8 +155,8 @@
 }
 
 // deliver applies a request from the instance to a worker, subject to the
-// faults. A request without an answer fails with *leader.NoAnswerError when ctx
-// ends.
+// faults. A request to a worker that is down fails with *leader.NotSentError at
+// once, one without an answer with *leader.NoAnswerError when ctx ends.
 func (ws *Workers) deliver(ctx context.Context, instance, id string, apply func(w *Worker, late bool) error) error {
 	time.Sleep(time.Millisecond)
 	ws.mu.Lock()
@@ -166,6 +169,10 @@
 		ws.mu.Unlock()
 		return &leader.NoAnswerError{Err: ctx.Err()}
 	}
+	if w != nil && w.Down && !w.UnreachableFrom[instance] {
+		ws.mu.Unlock()
+		return &leader.NotSentError{Err: errRefusedConn}
+	}
 	var err error
 	switch {
 	case !unanswered && ws.RefusedRate > 0 && ws.Rnd.Float64() < ws.RefusedRate:
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -118,7 +118,9 @@
 	case l.ctx.Err() != nil:
 		return true
 	}
-	n.unansweredAt = time.Now()
+	if settledBy(err) == settlesNothing {
+		n.unansweredAt = time.Now()
+	}
 	if try == 1 {
 		l.Logger.Info("start request not answered; trying again", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Error(err))
 	}
@@ -225,7 +227,8 @@
 // logStopFailed logs a stop request that the worker refused or did not answer.
 func (l *Leader) logStopFailed(w *worker, n *run, err error) {
 	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run), zap.Error(err)}
-	if settledBy(err) == settlesRequest {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
 		l.Logger.Info("worker refused stop; trying again", fields...)
 		return
 	}
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -231,6 +231,35 @@
 	}
 }
 
+// Guards against a unit that waits for a worker that is gone, because a start request that was never sent counts as one that may still be carried out.
+func TestStartNotSent(t *testing.T) {
+	tests := []struct {
+		name      string
+		err       error // of each start request
+		wantEnded bool
+	}{
+		{"no connection", &NotSentError{io.EOF}, true},
+		{"no answer", &NoAnswerError{io.EOF}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				starts := 0
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error { starts++; return tt.err },
+					Sync:  func(context.Context, Target, SyncRequest) (Report, error) { return Report{}, tt.err },
+				})
+				defer s.cancel()
+				s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				is.True(time.Since(s.run.startedAt) >= startDeadline) // a gang waits for members on a worker that is back soon
+				is.Equal(s.ended(), tt.wantEnded)
+				is.True(starts <= int(startDeadline/startRetryInterval)+2)
+			})
+		})
+	}
+}
+
 // Guards against a unit that waits for a stop of a run that certainly has not started.
 func TestRefusedStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -25,9 +25,12 @@
 // settledBy returns what the result of a start or stop request settles.
 func settledBy(err error) settlement {
 	var refused *RefusedError
+	var notSent *NotSentError
 	switch {
 	case err == nil:
 		return settlesRun
+	case errors.As(err, &notSent):
+		return settlesRequest
 	case !errors.As(err, &refused):
 		return settlesNothing
 	case refused.Reason == RefusedStaleRun:
--- a/internal/fleet/leader/proof_test.go
+++ b/internal/fleet/leader/proof_test.go
@@ -26,7 +26,8 @@
 		{"newer leader", &RefusedError{RefusedStaleToken}, settlesRequest},
 		{"reason of a newer worker", &RefusedError{"quota"}, settlesRequest},
 		{"no answer", &NoAnswerError{io.EOF}, settlesNothing},
-		{"request not sent", io.ErrClosedPipe, settlesNothing},
+		{"no connection", &NotSentError{io.ErrClosedPipe}, settlesRequest},
+		{"error of another kind", io.ErrClosedPipe, settlesNothing},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/fleet/leader/protocol.go
+++ b/internal/fleet/leader/protocol.go
@@ -129,6 +129,18 @@
 // Error returns a message with the reason of the refusal.
 func (e *RefusedError) Error() string { return fmt.Sprintf("worker refused the request: %s", e.Reason) }
 
+// NotSentError reports a request that certainly was not carried out, because no
+// connection to the worker was established.
+type NotSentError struct {
+	Err error
+}
+
+// Error returns a message with the cause.
+func (e *NotSentError) Error() string { return fmt.Sprintf("no connection to worker: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
 // NoAnswerError reports a request of unknown outcome: it may have been carried
 // out, or may still be.
 type NoAnswerError struct {
@@ -142,8 +154,8 @@
 func (e *NoAnswerError) Unwrap() error { return e.Err }
 
 // WorkerClient holds the functions that send requests to workers. They fail with
-// *RefusedError if the request was certainly not carried out, and with
-// *NoAnswerError if its outcome is unknown.
+// *RefusedError or *NotSentError if the request was certainly not carried out, and
+// with *NoAnswerError if its outcome is unknown.
 type WorkerClient struct {
 	Start func(ctx context.Context, t Target, req StartRequest) error
 	Stop  func(ctx context.Context, t Target, req StopRequest) error
