Let the lease end on a worker that carries out no stops

What callers saw: a run of a cancelled job goes on as long as its worker answers reports but refuses every stop request, or does not answer them.

A worker that answers syncs and has not carried out a stop for 10 s gets no more renewals and no starts. What runs there ends with its lease, within another 6 s, and starts again elsewhere; the worker is used again once all runs that had to stop have ended. The log says so, with the run in question. A worker that does not answer syncs either is not counted: its leases end anyway.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -68,8 +68,8 @@
 	Draining        bool
 	Remaining       time.Duration // while it drains: the least time that it announces to stay
 	Down            bool
-	// Unlisted hides the worker from the list of workers.
-	Unlisted bool
+	Unlisted        bool  // it is not in the list of workers
+	StopErr         error // answer to all stop requests, which have no effect; nil if it carries them out
 
 	incarnation  int64
 	bootedAt     time.Time
@@ -235,6 +235,9 @@
 			return &leader.RefusedError{Reason: leader.RefusedStaleToken}
 		}
 		w.token = t.Token
+		if w.StopErr != nil {
+			return w.StopErr
+		}
 		w.highestRun[o.Task] = max(w.highestRun[o.Task], o.Run)
 		if r := w.runs[o.Task]; r != nil && r.run <= o.Run && r.stopAt.IsZero() {
 			r.stopAt = time.Now().Add(StopGrace)
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -62,6 +62,11 @@
 		l.mu.Unlock()
 		return true, 0
 	}
+	if w.unstoppable {
+		l.stopRun(w, n, "worker carries out no stops")
+		l.mu.Unlock()
+		return true, 0
+	}
 	if l.Policy.Evacuated(w.entry.Zone) {
 		l.stopRun(w, n, "failure domain evacuated")
 		l.mu.Unlock()
@@ -215,11 +220,14 @@
 	defer cancel()
 	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
 		l.logStopFailed(w, n, err)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		n.recordStopFailure(w.unresponsive)
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n.stoppedAt, n.stoppedOn = time.Now(), incarnation
+	n.stoppedAt, n.stoppedOn, n.stopFailedAt = time.Now(), incarnation, time.Time{}
 	n.settle()
 	return true
 }
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -260,6 +260,20 @@
 	}
 }
 
+// Guards against a start, decided just before, that renews the leases of a worker that carries out no stops.
+func TestStartOnUnstoppableWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		starts := 0
+		s := newStartTest(t, WorkerClient{Start: func(context.Context, Target, StartRequest) error { starts++; return nil }})
+		defer s.cancel()
+		s.worker.unstoppable = true
+		s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		is.Equal(starts, 0)
+		is.True(s.ended())
+	})
+}
+
 // Guards against a unit that waits for a stop of a run that certainly has not started.
 func TestRefusedStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -49,6 +49,7 @@
 	settledAt    time.Time // when the worker was known to have the run, to have had it or to refuse it; zero while unknown
 	stoppedAt    time.Time // when an incarnation had carried out a stop request; zero while unknown
 	stoppedOn    int64     // this incarnation
+	stopFailedAt time.Time // first of the stop requests in a row that the worker did not carry out although it answered syncs
 }
 
 // recordAnswer notes what the answer to a request to start the run settles.
@@ -92,6 +93,17 @@
 	return p.startToken != 0 && p.startToken < token
 }
 
+// recordStopFailure notes that the worker did not carry out a stop request.
+// unresponsive reports whether it does not answer syncs either.
+func (p *proof) recordStopFailure(unresponsive bool) {
+	switch {
+	case unresponsive:
+		p.stopFailedAt = time.Time{}
+	case p.stopFailedAt.IsZero():
+		p.stopFailedAt = time.Now()
+	}
+}
+
 // stopStep is a step to stop a run.
 type stopStep int
 
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -98,10 +98,11 @@
 func (l *Leader) sync(w *worker, answered bool) bool {
 	mayRenew := l.logReadRecently()
 	l.mu.Lock()
+	l.updateUnstoppable(w, time.Now())
 	t := l.target(w)
 	req := SyncRequest{Ack: w.safeAck(time.Now())}
 	if w.contacted && answered && w.busy() {
-		if mayRenew && len(w.runs) > 0 {
+		if mayRenew && len(w.runs) > 0 && !w.unstoppable {
 			req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 		}
 		if !w.hasUnstoredEnds() {
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -61,6 +61,7 @@
 	leasesEnd    time.Time // when all leases that were requested have certainly ended
 	unhealthyAt  time.Time // when it last refused a start as unhealthy or as another incarnation
 	slowAt       time.Time // when a run on it was last found slow
+	unstoppable  bool      // does not carry out stop requests; its leases are not renewed
 
 	runs       map[runKey]*run
 	orphans    map[runKey]*run      // runs that the state does not have
@@ -110,7 +111,7 @@
 
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.entry.Unreadable && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 &&
+	return w.listed && !w.entry.Unreadable && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 && !w.unstoppable &&
 		now.Sub(w.lastAnswer) < idleSyncInterval+maxRenewSilence && now.Sub(w.unhealthyAt) > unhealthyPause &&
 		(w.entry.Incarnation == 0 || w.entry.Incarnation == w.incarnation)
 }
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -125,6 +125,7 @@
 		{"draining", func(w *worker) { w.entry.Draining = true }, false},
 		{"refused just now", func(w *worker) { w.unhealthyAt = now }, false},
 		{"another incarnation is listed", func(w *worker) { w.entry.Incarnation = 2 }, false},
+		{"carries out no stops", func(w *worker) { w.unstoppable = true }, false},
 		{"runs what is not in the state", func(w *worker) { w.orphans[runKey{}] = &run{} }, false},
 	}
 	for _, tt := range tests {
