Wait for the leases of unlisted workers as for those of others

What callers saw: a task ran twice (TWICE). A leader that is cut off from the store goes on renewing leases for up to 10 s. The next leader waits that long before it takes the runs of workers that it has never reached for lost, but waited for one lease only if the worker had no entry in the list. An entry proves nothing: it is removed as well when a running worker is cut off from the store, and the leader before may still reach that worker.

Unlisted workers are no exception any more. Those that are gone are found in the list of machines, which a new leader consults after 5 s, about as soon as the exception took effect.

Tests: TestUnlistedWorkerOfEarlierLeader fails before ("run 2 on w3 beside run 1 on w4"). Result: leader and instance pass.

--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -154,11 +154,7 @@
 // caller holds l.mu.
 func (l *Leader) expireLeases(w *worker) {
 	now := time.Now()
-	leasesEnd := w.leasesEnd
-	if gone := l.startedAt.Add(maxLeaseTime(l.Bounds.Lease)); w.incarnation == 0 && !w.listed && leasesEnd.After(gone) {
-		leasesEnd = gone // the platform does not list it any more
-	}
-	if !w.busy() || now.Before(leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
+	if !w.busy() || now.Before(w.leasesEnd) || now.Sub(w.lastAnswer) < maxRenewSilence {
 		return
 	}
 	w.dropOrphans()
