Wait for late starts before a run on a silent worker is lost

What callers saw: a task ran twice (TWICE), found by reading and now by a test. The runs of a worker that does not answer were lost when its leases had ended by the leader's clock. A start request without an answer may be carried out seconds later, and by the next incarnation of the worker, which measures the lease in it on a clock that began anew: it runs the task while the leader starts it elsewhere.

A run with a start request without an answer now counts as lost only when the request cannot be carried out any more (15 s after it was sent) and a lease is over. The same holds for runs of the leader before, whose open requests are not known. Runs that were accepted at the first attempt are lost after one lease as before, and those of a worker that has left the list of machines at once.

Tests: TestLateStartBehindCut ("run 2 on w7 beside run 1 on w4" before) and three rows of TestExpireLeases fail without the change.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -71,6 +71,7 @@
 	checkpoint  string
 	progress    progressSample
 	stopping    bool
+	inherited   bool // started by an earlier leader, and not reported to this one
 	removed     bool // no longer among the runs of its worker
 	endProposed bool // a record of its end has been proposed
 }
@@ -111,6 +112,7 @@
 		w := l.ensureWorker(m.Worker)
 		r := newRun(js, u, i)
 		r.settledAt = l.startedAt // a worker that has answered this leader refuses the requests of earlier ones
+		r.inherited = true
 		r.checkpoint = u.Checkpoint
 		l.addRun(w, r)
 		switch {
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -120,7 +120,7 @@
 // updateFromReport updates the run from the report of an incarnation of the worker.
 func (n *run) updateFromReport(t RunningTask, incarnation int64) {
 	n.settle()
-	n.reported, n.incarnation = true, incarnation
+	n.reported, n.inherited, n.incarnation = true, false, incarnation
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
 		n.checkpoint = t.Checkpoint
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,10 @@
 	// answer.
 	syncRetryDelay = 250 * time.Millisecond
 
+	// maxRequestDelay is how long after it was sent a request without an answer may
+	// still be carried out.
+	maxRequestDelay = 15 * time.Second
+
 	// unhealthyPause is how long no new runs are started on a worker that
 	// refused a start as unhealthy or as another incarnation.
 	unhealthyPause = 2 * time.Second
@@ -150,6 +155,21 @@
 	}
 }
 
+// lateRunEnd returns until when a worker that does not answer may run the run even
+// though its leases have ended: it may have restarted, and its new incarnation may
+// have carried out a start request without an answer, whose lease it measures on a
+// clock that began anew. The request may be one of the leader before. The caller
+// holds l.mu.
+func (l *Leader) lateRunEnd(n *run) time.Time {
+	switch {
+	case n.openStarts > 0:
+		return n.startSentAt.Add(maxRequestDelay + maxLeaseTime(l.Bounds.Lease))
+	case n.inherited:
+		return l.startedAt.Add(startDeadline + maxRequestDelay + maxLeaseTime(l.Bounds.Lease))
+	}
+	return time.Time{}
+}
+
 // expireLeases ends the runs of a worker whose leases have certainly ended. The
 // caller holds l.mu.
 func (l *Leader) expireLeases(w *worker) {
@@ -158,7 +178,8 @@
 		return
 	}
 	w.dropOrphans()
-	records := l.endLost(w, w.unendedRuns(), lossUnreachable, now)
+	lost := slices.DeleteFunc(w.unendedRuns(), func(n *run) bool { return now.Before(l.lateRunEnd(n)) })
+	records := l.endLost(w, lost, lossUnreachable, now)
 	if len(records) == 0 {
 		return
 	}
