Keep the runs of a worker that has left the lists and still answers

What callers would have seen: a task that runs twice (found by reading). A worker without an entry that two lists of machines in a row do not name counted as gone, also while it answered every sync, and its runs were lost and started elsewhere beside those that went on. A list that lags, or a worker that serves for longer than it announced, is enough.

Only a worker that does not answer counts as gone now. One that is gone for good fails its next sync, at once if its connection ends and otherwise within 2 s.

A line of TestUnreadableEntry demanded the opposite for such a worker; it now demands that the worker has not left while it answers, and may have left once it does not.

--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -73,10 +73,11 @@
 	return found
 }
 
-// mayHaveLeft reports whether the worker has runs, does not answer or is not
-// listed, and has been known for long enough to be in the list of machines.
+// mayHaveLeft reports whether the worker has runs, does not answer, and has been
+// known for long enough to be in the list of machines. The runs of a worker that
+// still answers go on, whatever the platform lists.
 func (w *worker) mayHaveLeft() bool {
-	return w.busy() && (w.unresponsive || !w.listed) && time.Since(w.knownSince) > machineListDelay
+	return w.busy() && w.unresponsive && time.Since(w.knownSince) > machineListDelay
 }
 
 // endDeparted returns records of the ends of the runs on workers that are no
--- a/internal/fleet/leader/unreadable_test.go
+++ b/internal/fleet/leader/unreadable_test.go
@@ -30,6 +30,8 @@
 	is.True(w.usable(time.Now()))
 
 	l.mergeEntries(nil)
+	is.True(!w.mayHaveLeft()) // it still answers
+	w.unresponsive = true
 	is.True(w.mayHaveLeft())
 }
 
