Play late requests that reach only contacted incarnations

TestHistoriesOfFenced- Requests plays the same histories and lets it do so once the incarnation has answered two syncs, by which the leader contacts it.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -74,6 +74,7 @@
 	incarnation  int64
 	bootedAt     time.Time
 	token        uint64 // highest fencing token that it has seen
+	syncs        int    // syncs that the incarnation has answered
 	leaseEnd     int64
 	runs         map[leader.TaskID]*taskRun
 	highestRun   map[leader.TaskID]int // highest run number that ended or was stopped here
@@ -84,6 +85,24 @@
 	endedAt      map[uint64]time.Time // by sequence number
 }
 
+// Reach says on which incarnations of a worker a delayed request takes effect.
+type Reach int
+
+const (
+	// ReachSame is the incarnation to which the request was sent.
+	ReachSame Reach = iota
+
+	// ReachSynced is any that has answered contactSyncs syncs.
+	ReachSynced
+
+	// ReachAny is any, from its start on.
+	ReachAny
+)
+
+// contactSyncs is the number of syncs by which a leader contacts an incarnation: the
+// first shows it, the second has its fencing token.
+const contactSyncs = 2
+
 // Workers is a set of fake workers that passes what they observe to Checker. The
 // exported fields are set before use and change only within WithLock.
 type Workers struct {
@@ -91,7 +110,7 @@
 	Checker          *Checker
 	List             map[string]*Worker
 	DelayedRate      float64         // share of requests that take effect 2 s to 10 s later and are not answered
-	DelayedReachNext bool            // a delayed request also takes effect on the next incarnation of the worker
+	DelayedReach     Reach           // which incarnations a delayed request takes effect on
 	LostResponseRate float64         // share of requests that take effect but are not answered
 	RefusedRate      float64         // share of requests that are refused as unhealthy and take no effect
 	FailingJobs      map[string]bool // jobs of which every run fails
@@ -135,7 +154,7 @@
 func (ws *Workers) boot(w *Worker) {
 	w.incarnation = time.Now().UnixMilli()
 	w.bootedAt = time.Now()
-	w.token, w.leaseEnd, w.lastSeq = 0, 0, 0
+	w.token, w.syncs, w.leaseEnd, w.lastSeq = 0, 0, 0, 0
 	w.runs = make(map[leader.TaskID]*taskRun)
 	w.highestRun = make(map[leader.TaskID]int)
 	w.ended = nil
@@ -182,8 +201,7 @@
 		time.AfterFunc(wait, func() {
 			ws.mu.Lock()
 			defer ws.mu.Unlock()
-			sameWorker := w.incarnation == incarnation || ws.DelayedReachNext && w.ID == id
-			if !w.Down && sameWorker {
+			if !w.Down && (w.incarnation == incarnation || w.ID == id && ws.reaches(w)) {
 				_ = apply(w, true)
 			}
 		})
@@ -200,6 +218,18 @@
 	return err
 }
 
+// reaches reports whether a delayed request that was sent to an earlier incarnation
+// takes effect on the worker.
+func (ws *Workers) reaches(w *Worker) bool {
+	switch ws.DelayedReach {
+	case ReachSynced:
+		return w.syncs >= contactSyncs
+	case ReachAny:
+		return true
+	}
+	return false
+}
+
 // Start serves a start request of the instance.
 func (ws *Workers) Start(ctx context.Context, instance string, t leader.Target, o leader.StartRequest) error {
 	return ws.deliver(ctx, instance, t.ID, func(w *Worker, late bool) error {
@@ -252,11 +282,14 @@
 	deadline := time.Now().Add(o.MaxWait)
 	for {
 		var changed chan struct{}
-		err := ws.deliver(ctx, instance, t.ID, func(w *Worker, _ bool) error {
+		err := ws.deliver(ctx, instance, t.ID, func(w *Worker, late bool) error {
 			if t.Token < w.token {
 				return &leader.RefusedError{Reason: leader.RefusedStaleToken}
 			}
 			w.token = t.Token
+			if !late {
+				w.syncs++
+			}
 			ws.acknowledge(w, o.Ack)
 			if o.LeaseEnd > 0 {
 				w.leaseEnd = max(w.leaseEnd, min(o.LeaseEnd, w.clockMs()+MaxLease.Milliseconds()))
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -56,14 +56,21 @@
 }
 
 // Guards against requests that are carried out by the next incarnation of a worker.
-func TestHistoriesOfLateRequests(t *testing.T) {
+func TestHistoriesOfLateRequests(t *testing.T) { checkLateRequests(t, fleettest.ReachAny) }
+
+// Guards against requests that are carried out by the next incarnation of a worker after the leader has contacted it.
+func TestHistoriesOfFencedRequests(t *testing.T) { checkLateRequests(t, fleettest.ReachSynced) }
+
+// checkLateRequests plays histories in which delayed requests reach further
+// incarnations of their worker.
+func checkLateRequests(t *testing.T, reach fleettest.Reach) {
 	for i := range *histories {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			var violations []string
 			r := runCluster(t, seed, 3, 8, func(c *cluster) {
-				c.workers.WithLock(func() { c.workers.DelayedReachNext = true })
+				c.workers.WithLock(func() { c.workers.DelayedReach = reach })
 				violations = playHistory(c, seed)
 			})
 			for _, v := range append(r.Violations, violations...) {
--- a/internal/fleet/instance/late_test.go
+++ b/internal/fleet/instance/late_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -15,7 +16,7 @@
 		is := is.New(t)
 		r := runCluster(t, seed, 3, 8, func(c *cluster) {
 			time.Sleep(8 * time.Second)
-			c.workers.WithLock(func() { c.workers.DelayedRate, c.workers.DelayedReachNext = 1, true })
+			c.workers.WithLock(func() { c.workers.DelayedRate, c.workers.DelayedReach = 1, fleettest.ReachAny })
 			is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 1, GPU: 8, Estimate: 20000})))
 			time.Sleep(200 * time.Millisecond)
 			id := c.lines.startedOn(t)
