Blame no crash for a run that the present incarnation has reported

A run whose start request reached the next incarnation of its worker before the leader contacted it, and which that incarnation reported, was sent with a lower token than the present one. If it was missing from a later report, it counted as lost by a crash of the worker and its task as the suspect. It is missing only; the worker has not crashed since. Found by reading the change of the fencing tokens.

TestLostOnNextIncarnation fails before.

--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -73,3 +73,21 @@
 	}
 	is.Equal(outcomes, map[string]ledger.RunOutcome{"beside": ledger.WorkerLost, "cause": ledger.WorkerCrashed, "reported": ledger.WorkerLost})
 }
+
+// Guards against blaming a task for a crash that did not happen, because a request to an earlier incarnation started it on the present one.
+func TestLostOnNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := testLeader()
+	w := newWorker("w", now)
+	l.workers[w.id] = w
+	l.applyReport(w, Report{Incarnation: 1}, l.exchange(w, now))
+	n := &run{key: runKey{TaskID{Job: "a"}, 1}, worker: w, unit: ledger.UnitID{Job: "a"}, incarnation: 1, proof: proof{openStarts: 1, startToken: l.target(w).Token}}
+	w.runs[n.key] = n
+	is.True(l.applyReport(w, Report{Incarnation: 2}, l.exchange(w, now)))
+	l.applyReport(w, Report{Incarnation: 2, Running: []RunningTask{{Task: n.key.task, Run: 1}}}, l.exchange(w, now))
+	is.True(!n.endProposed)
+	ends := l.endAbsent(w, nil, time.Now().Add(time.Second), now)
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].End.Outcome, ledger.WorkerLost)
+}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -105,7 +105,7 @@
 	for _, n := range w.unendedRuns() {
 		switch {
 		case present[n.key]:
-		case n.refusedFrom(token):
+		case n.refusedFrom(token) && n.incarnation != w.incarnation:
 			crashed = append(crashed, n)
 		case !n.settledBefore(sent):
 		case n.incarnation != 0 && n.incarnation != w.incarnation:
