Leave room between epochs for the tokens of restarted workers

A fencing token of the epoch shifted by 16 bits would have been far above the epochs of the version before: in a rolling upgrade, or after going back, an instance of that version that leads would be refused by every worker until the worker restarts, and the leases of what runs would end.

Epochs now rise by 65,536 (ledger.EpochStep), and the token is the epoch plus the number of restarts seen. An instance of the version before claims the next number and is refused only by workers that restarted twice or more under one leader. Claims that the log has fenced rise by the same steps as before, counted in this unit.

Tests: TestNextEpoch; the tests of elections expect the same numbers of epochs, counted in steps.

--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -31,12 +31,12 @@
 	// retention time, so that the retained records always tell who leads.
 	claimsPerRetention = 3
 
-	// fencedStepFactor is the factor by which a claim raises the epoch further than
-	// the one before it, while the log refuses one claim after another. An instance
+	// fencedStepFactor is the factor by which a claim raises the epoch by more steps
+	// than the one before it, while the log refuses one claim after another. An instance
 	// that knows no epoch at all so finds a high one within a few claims.
 	fencedStepFactor = 4
 
-	// maxFencedStep bounds this, so that epochs stay far below their limit.
+	// maxFencedStep bounds these steps, so that epochs stay far below their limit.
 	maxFencedStep = 1 << 20
 )
 
@@ -150,7 +150,7 @@
 	if f.claimConflictEnd > 0 {
 		expectedEnd = nil
 	}
-	epoch := max(f.state.Epoch+1, f.minClaimEpoch)
+	epoch := max(ledger.NextEpoch(f.state.Epoch), f.minClaimEpoch)
 	lastResort := f.missedBefore > 0
 	if lastResort {
 		f.lastResortEpoch = epoch
@@ -186,7 +186,7 @@
 	case errors.As(err, &fenced):
 		// The log may have fenced the epoch by a claim that had no effect on the
 		// state or has expired, so the next claim needs a higher one.
-		f.minClaimEpoch = epoch + f.fencedStep
+		f.minClaimEpoch = epoch + f.fencedStep*ledger.EpochStep
 		f.fencedStep = min(fencedStepFactor*f.fencedStep, maxFencedStep)
 	case errors.As(err, &mismatch) && mismatch.End > next:
 		f.claimConflictEnd = mismatch.End
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -110,7 +110,7 @@
 	retired       bool          // this instance never claims again
 	noClaimBefore time.Time     // set by Yield, so that another instance leads
 	minClaimEpoch uint64        // lowest epoch for which the log may still accept a claim
-	fencedStep    uint64        // by how much the next fenced claim raises minClaimEpoch
+	fencedStep    uint64        // steps by which the next fenced claim raises minClaimEpoch
 
 	lastResortEpoch uint64 // last epoch that was claimed although the state lacked records
 
--- a/internal/fleet/feed/incomplete_test.go
+++ b/internal/fleet/feed/incomplete_test.go
@@ -132,7 +132,7 @@
 				is.Equal(f.Leading(), false)
 				time.Sleep(tt.takeover - tt.waits)
 				is.Equal(f.Leading(), true)
-				is.Equal(claims(l.log, "late"), []uint64{stubEpoch + 1})
+				is.Equal(claims(l.log, "late"), []uint64{ledger.NextEpoch(stubEpoch)})
 				is.NoErr(f.Sync(t.Context()))
 				time.Sleep(time.Second)
 				is.Equal(l.log.Snapshots() > before, !tt.snapshot) // others complete their states with it
@@ -190,6 +190,6 @@
 		is.Equal(f.Leading(), false)
 		time.Sleep(5 * time.Second)
 		is.Equal(f.Leading(), true) // there is no other instance
-		is.Equal(claims(log, "lead"), []uint64{1, 2})
+		is.Equal(claims(log, "lead"), []uint64{ledger.EpochStep, 2 * ledger.EpochStep})
 	})
 }
--- a/internal/fleet/instance/election_test.go
+++ b/internal/fleet/instance/election_test.go
@@ -62,7 +62,7 @@
 				tt.injectFault(c)
 				time.Sleep(tt.wait)
 				is.Equal(c.countLeaders(), 1)
-				is.Equal(c.leader().instance().Feed.Status().Epoch-before, tt.epochs)
+				is.Equal(c.leader().instance().Feed.Status().Epoch-before, tt.epochs*ledger.EpochStep)
 			})
 		})
 	}
@@ -99,7 +99,7 @@
 				tt.injectFault(c)
 				time.Sleep(tt.wait)
 				is.Equal(c.countLeaders(), 1)
-				is.Equal(c.leader().instance().Feed.Status().Epoch-before, uint64(1))
+				is.Equal(c.leader().instance().Feed.Status().Epoch-before, uint64(ledger.EpochStep))
 			})
 		})
 	}
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -31,7 +31,7 @@
 	if client.Stop == nil {
 		client.Stop = func(context.Context, Target, StopRequest) error { return errRefusedConn }
 	}
-	l := &Leader{Epoch: 1, Feed: &feed.Feed{}, Policy: &policy.Current{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}, Client: client}
+	l := &Leader{Epoch: 2 * ledger.EpochStep, Feed: &feed.Feed{}, Policy: &policy.Current{}, Logger: zap.NewNop(), Bounds: Bounds{Lease: 6 * time.Second}, Client: client}
 	ctx, cancel := context.WithCancel(t.Context())
 	l.Init(ctx, ledger.NewState(), nil)
 	w := newWorker("w0", time.Now())
--- a/internal/fleet/leader/token_test.go
+++ b/internal/fleet/leader/token_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
 // fencedWorker answers like a worker: an incarnation refuses all requests with a
@@ -71,7 +73,7 @@
 				defer s.cancel()
 				late := s.leader.target(s.worker)
 				if tt.fromPast {
-					late.Token = fencingToken(s.leader.Epoch-1, 7)
+					late.Token = fencingToken(s.leader.Epoch-ledger.EpochStep, 7)
 				}
 				is.True(s.leader.requestReport(s.worker))
 				for range tt.restarts {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -237,3 +237,18 @@
 		s.Apply(end(1, "a", 1, 0, Failed))
 	})
 }
+
+// Guards against an epoch that is not above all fencing tokens of the leader before, and against one that follows an earlier version's and is not higher.
+func TestNextEpoch(t *testing.T) {
+	tests := []struct{ epoch, want uint64 }{
+		{0, EpochStep},
+		{5, EpochStep}, // of an instance that counts in ones
+		{EpochStep, 2 * EpochStep},
+		{EpochStep + 1, 2 * EpochStep},
+		{2*EpochStep - 1, 2 * EpochStep},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal(NextEpoch(tt.epoch), tt.want) // tt.epoch
+	}
+}
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -25,6 +25,14 @@
 	Addr     string `cbor:"2,keyasint"`
 }
 
+// EpochStep is the distance between the epochs of two leaders. A leader uses the
+// numbers in between as fencing tokens for workers that have restarted, so that an
+// instance of an earlier version, which claims the very next number, can still lead.
+const EpochStep = 1 << 16
+
+// NextEpoch returns the epoch of the next leader.
+func NextEpoch(epoch uint64) uint64 { return (epoch/EpochStep + 1) * EpochStep }
+
 // Claim makes an instance the leader of an epoch.
 type Claim struct {
 	Epoch       uint64 `cbor:"1,keyasint"`
