Name the cut of a worker and a contacted worker in the tests

Three tests cut a worker off from all instances, or all but one, in their own lines, and three set up a contacted worker. Test code only; what they check is unchanged.

--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -290,6 +290,16 @@
 	time.AfterFunc(d, func() { close(thaw) })
 }
 
+// cutOff makes a worker unreachable from all instances except one. The name of the
+// exception may be empty.
+func (c *cluster) cutOff(id, except string) {
+	c.workers.WithLock(func() {
+		for _, n := range c.nodes {
+			c.workers.List[id].UnreachableFrom[n.name] = n.name != except
+		}
+	})
+}
+
 // leader returns the instance that leads, or nil.
 func (c *cluster) leader() *node {
 	for _, n := range c.nodes {
--- a/internal/fleet/instance/depart_test.go
+++ b/internal/fleet/instance/depart_test.go
@@ -63,13 +63,8 @@
 		is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 4, GPU: 8, Estimate: 20000})))
 		time.Sleep(time.Second)
 		id := c.busyWorker()
-		c.workers.WithLock(func() {
-			w := c.workers.List[id]
-			w.Unlisted = true
-			for _, n := range c.nodes {
-				w.UnreachableFrom[n.name] = true
-			}
-		})
+		c.workers.WithLock(func() { c.workers.List[id].Unlisted = true })
+		c.cutOff(id, "")
 		time.Sleep(30 * time.Second)
 		is.Equal(c.phase(c.nodes[1], "a"), ledger.Finished)
 	})
--- a/internal/fleet/instance/late_test.go
+++ b/internal/fleet/instance/late_test.go
@@ -20,12 +20,8 @@
 			is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 1, GPU: 8, Estimate: 20000})))
 			time.Sleep(200 * time.Millisecond)
 			id := c.lines.startedOn(t)
-			c.workers.WithLock(func() {
-				c.workers.DelayedRate = 0
-				for _, n := range c.nodes {
-					c.workers.List[id].UnreachableFrom[n.name] = true
-				}
-			})
+			c.workers.WithLock(func() { c.workers.DelayedRate = 0 })
+			c.cutOff(id, "")
 			c.workers.Crash(id)
 			time.Sleep(500 * time.Millisecond)
 			c.workers.Reboot(id)
--- a/internal/fleet/instance/oldleader_test.go
+++ b/internal/fleet/instance/oldleader_test.go
@@ -20,13 +20,8 @@
 		time.Sleep(time.Second)
 		id, first := c.busyWorker(), c.leader().name
 		c.log.SetFaults(func(l *fleettest.LogFaults) { l.RefusedInstances[first] = true })
-		c.workers.WithLock(func() {
-			w := c.workers.List[id]
-			w.Unlisted = true
-			for _, n := range c.nodes {
-				w.UnreachableFrom[n.name] = n.name != first
-			}
-		})
+		c.workers.WithLock(func() { c.workers.List[id].Unlisted = true })
+		c.cutOff(id, first)
 		time.Sleep(20 * time.Second)
 		is.True(slices.ContainsFunc(c.nodes, func(n *node) bool { return n.name != first && n.instance().Feed.Leading() }))
 		c.log.ClearFaults()
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -50,9 +50,7 @@
 	is := is.New(t)
 	now := time.Now()
 	l := testLeader()
-	w := newWorker("w", now)
-	l.workers[w.id] = w
-	l.applyReport(w, Report{Incarnation: 1}, l.exchange(w, now))
+	w := l.addContacted("w")
 	first := l.target(w).Token
 	add := func(job string, n run) *run {
 		n.key, n.worker, n.unit, n.incarnation = runKey{TaskID{Job: job}, 1}, w, ledger.UnitID{Job: job}, 1
@@ -79,9 +77,7 @@
 	is := is.New(t)
 	now := time.Now()
 	l := testLeader()
-	w := newWorker("w", now)
-	l.workers[w.id] = w
-	l.applyReport(w, Report{Incarnation: 1}, l.exchange(w, now))
+	w := l.addContacted("w")
 	n := &run{key: runKey{TaskID{Job: "a"}, 1}, worker: w, unit: ledger.UnitID{Job: "a"}, incarnation: 1, proof: proof{openStarts: 1, startToken: l.target(w).Token}}
 	w.runs[n.key] = n
 	is.True(l.applyReport(w, Report{Incarnation: 2}, l.exchange(w, now)))
--- a/internal/fleet/leader/orphan_test.go
+++ b/internal/fleet/leader/orphan_test.go
@@ -117,10 +117,8 @@
 func TestLateOrphanOfEndingRunIsKept(t *testing.T) {
 	is := is.New(t)
 	l := testLeader()
-	w := newWorker("w", time.Now())
-	l.workers[w.id] = w
+	w := l.addContacted("w")
 	now := time.Now()
-	l.applyReport(w, Report{Incarnation: 1}, l.exchange(w, now))
 	n := &run{key: runKey{TaskID{Job: "a"}, 1}, worker: w, unit: ledger.UnitID{Job: "a"}, incarnation: 1, endProposed: true,
 		proof: proof{openStarts: 1, startSentAt: now, startToken: l.target(w).Token, settledAt: now}}
 	w.runs[n.key] = n
--- a/internal/fleet/leader/worker_test.go
+++ b/internal/fleet/leader/worker_test.go
@@ -21,6 +21,14 @@
 	return l
 }
 
+// addContacted adds a worker whose incarnation 1 has answered a sync.
+func (l *Leader) addContacted(id string) *worker {
+	w := newWorker(id, time.Now())
+	l.workers[id] = w
+	l.applyReport(w, Report{Incarnation: 1}, l.exchange(w, time.Now()))
+	return w
+}
+
 // exchange returns a sync of the worker that was sent at the time.
 func (l *Leader) exchange(w *worker, sent time.Time) syncExchange {
 	l.mu.Lock()
