--- a/record/codec.go
+++ b/record/codec.go
@@ -96,9 +96,21 @@
 	if len(b.Records) > MaxBatchRecords {
 		return nil, &SizeError{len(data), len(b.Records)}
 	}
+	for _, r := range b.Records {
+		if err := checkBody(r.Body); err != nil {
+			return nil, &CodecError{string(r.Kind), err}
+		}
+	}
 	return &b, nil
 }
 
+// checkBody reports an error for a body that the decoder passes on unread and the
+// encoder refuses, such as a tag of a large number on anything but bytes.
+func checkBody(body cbor.RawMessage) error {
+	_, err := encMode.Marshal(body)
+	return err
+}
+
 // Marshal encodes any value in the deterministic CBOR encoding of the log.
 func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
--- a/record/codec_test.go
+++ b/record/codec_test.go
@@ -94,6 +94,17 @@
 	return data
 }
 
+// Guards against a batch that is accepted and cannot be written again, because a body has a tag that its content does not fit.
+func TestDecodeBodyWithOddTag(t *testing.T) {
+	is := is.New(t)
+	odd := []byte("\xa4at\x00cseq\x01fwriteraagrecords\x81\xa3bidbiddbody\xa5cjobbj1crev\teevict\x81\xa2cjobbj0etoken\x04egrace\x19\x01\xf4es\xc3\xc3\xc3\xc3\xc3\xc3lots\x81\xa2am\x18\xf0aw\x03dkindeplace")
+	_, err := Decode(odd)
+	var bad *CodecError
+	is.True(errors.As(err, &bad))
+	_, err = Decode(bytes.Replace(odd, []byte("\xc3\xc3\xc3\xc3\xc3\xc3"), nil, 1)) // the same without the tags
+	is.NoErr(err)
+}
+
 // FuzzDecode guards against panics in the codecs and against batches that change
 // when they are decoded and encoded again.
 func FuzzDecode(f *testing.F) {
