Log which limit made a run count as lost, and dropped ends

Two tasks ran a second time after their first runs had ended as done behind the cut of a failure domain. The log could not tell the hypotheses apart: "run lost" did not say whether the worker was listed and which limit decided, and nothing was written when the end of a run that the state no longer has was dropped and acknowledged.

"run lost" now has the fields bound, listed and inherited. An end without effect is logged once for each end that an incarnation reports, at debug level unless it is done or failed: a stopped orphan run reports one each time.

--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -47,7 +47,8 @@
 			outcome = ledger.WorkerCrashed
 		}
 		l.Logger.Info("run lost", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member),
-			zap.String("cause", string(cause)), zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported),
+			zap.String("cause", string(cause)), zap.String("bound", l.lossBound(w, n, cause)), zap.Bool("listed", w.listed),
+			zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported), zap.Bool("inherited", n.inherited),
 			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
 		r := l.endRun(n, outcome, n.checkpoint, now)
 		r.End.Prompt = cause != lossUnreachable && n.accepted && !n.reported
@@ -56,6 +57,26 @@
 	return records
 }
 
+// lossBound returns what the time of a loss depended on, for the log. On a worker
+// that does not answer it is the latest of several points in time. The caller holds
+// l.mu.
+func (l *Leader) lossBound(w *worker, n *run, cause lossCause) string {
+	switch cause {
+	case lossDrained, lossVanished:
+		return "machine list"
+	case lossRestarted, lossMissing:
+		return "report"
+	}
+	late, silent := l.lateRunEnd(n), w.lastAnswer.Add(maxRenewSilence)
+	switch {
+	case late.After(w.leasesEnd) && late.After(silent):
+		return "late start"
+	case silent.After(w.leasesEnd):
+		return "silence"
+	}
+	return "lease"
+}
+
 // crashSuspects returns the lost runs that may have crashed their worker. A task
 // that crashes workers usually does so when it starts, so runs that the worker
 // never reported are suspected before all others.
--- a/internal/fleet/leader/lost_test.go
+++ b/internal/fleet/leader/lost_test.go
@@ -87,3 +87,30 @@
 	is.Equal(len(ends), 1)
 	is.Equal(ends[0].End.Outcome, ledger.WorkerLost)
 }
+
+// Guards against a log that blames the wrong limit for a run that counted as lost too soon.
+func TestLossBound(t *testing.T) {
+	now := time.Now()
+	inherited := &run{inherited: true}
+	tests := []struct {
+		name       string
+		run        *run
+		leasesEnd  time.Time
+		lastAnswer time.Time
+		cause      lossCause
+		want       string
+	}{
+		{"lease", &run{}, now, now.Add(-10 * time.Second), lossUnreachable, "lease"},
+		{"silence", &run{}, now, now, lossUnreachable, "silence"},
+		{"late start of an earlier leader", inherited, now, now, lossUnreachable, "late start"},
+		{"departed", inherited, now, now, lossVanished, "machine list"},
+		{"restarted", &run{}, now, now, lossRestarted, "report"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := testLeader()
+			is.Equal(l.lossBound(&worker{leasesEnd: tt.leasesEnd, lastAnswer: tt.lastAnswer}, tt.run, tt.cause), tt.want)
+		})
+	}
+}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -133,6 +133,7 @@
 	key := runKey{t.Task, t.Run}
 	n := w.runs[key]
 	if n == nil || n.endProposed {
+		l.logDroppedEnd(w, t, n)
 		w.ends = append(w.ends, reportedEnd{t.Seq, key, n == nil})
 		return nil
 	}
@@ -147,6 +148,18 @@
 	return []ledger.Record{l.endRun(n, t.Outcome, checkpoint, now)}
 }
 
+// logDroppedEnd logs a reported end that has no effect: the state does not have the
+// run, or a record of another end is being stored. It is called once for each end
+// that an incarnation reports.
+func (l *Leader) logDroppedEnd(w *worker, t EndedTask, n *run) {
+	level := zap.DebugLevel
+	if t.Outcome == ledger.Done || t.Outcome == ledger.Failed {
+		level = zap.InfoLevel
+	}
+	l.Logger.Log(level, "reported end has no effect", zap.String("worker", w.id), zap.String("job", t.Task.Job), zap.Int("step", t.Task.Step), zap.Int("index", t.Task.Index),
+		zap.Int("occurrence", t.Task.Occurrence), zap.Int("run", t.Run), zap.String("how", string(t.Outcome)), zap.Bool("ending", n != nil))
+}
+
 // endRun marks the run as ending and returns the record of its end, which the
 // caller proposes. The caller holds l.mu.
 func (l *Leader) endRun(n *run, outcome ledger.RunOutcome, checkpoint string, now time.Time) ledger.Record {
