Keep lost runs in the state until their unit is done

The state forgot a run as soon as its worker counted as lost. When the worker had only been cut off and then reported the run as done, the end had no effect and the task ran again, although its end had been acknowledged; a reported failure was not counted as an attempt.

An End of such a member has effect: done makes the unit done, whatever was started since; failed counts once for its run; any end takes back the crash that was counted for the loss and keeps the checkpoint of the newest run. The new record Resume makes a lost run of a single task the current one again if no other run was decided since.

An instance of the version before decodes and ignores Resume, and ignores the end of a lost member; its state shows the unit as waiting until the next rewrite of the job. If such an instance leads and starts the next run, that start also replaces a resumed run in the states of this version, so that the states agree again. Records and rewrites of the version before still decode.

--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -23,6 +23,8 @@
 		return ok
 	case r.Rewrite != nil:
 		return s.applyRewrite(r.Rewrite)
+	case r.Resume != nil:
+		return s.applyResume(*r.Resume)
 	case r.Join != nil:
 		s.Peers[r.Join.Instance] = r.Join.Addr
 		return true
@@ -89,11 +91,13 @@
 	}
 	js.Phase = Cancelled
 	js.EndedAt = c.At
+	js.forgetLost()
 	return true
 }
 
 // applyStart starts a run of a unit that is neither done nor running, with one
-// worker for each task of the unit.
+// worker for each task of the unit. It replaces a resumed run: such a record is of a
+// leader whose version ignores Resume.
 func (s *State) applyStart(r Start) bool {
 	if !s.acceptEpoch(r.Epoch) {
 		return false
@@ -103,11 +107,11 @@
 		return false
 	}
 	u := js.Unit(r.Unit)
-	if u == nil || u.Done || u.Active() || r.Run <= u.Run || len(r.Workers) != js.Width(u) {
+	if u == nil || u.Done || u.Active() && !u.Resumed || r.Run <= u.Run || len(r.Workers) != js.Width(u) {
 		return false
 	}
 	u.Run = r.Run
-	u.RunFailed = false
+	u.RunFailed, u.Resumed = false, false
 	u.RunStartedAt = r.At
 	u.Members = make([]Member, len(r.Workers))
 	for i, w := range r.Workers {
@@ -121,7 +125,7 @@
 }
 
 // applyEnd marks one member of the current run as ended, and finishes the run
-// when it is complete.
+// when it is complete. It also applies the end of a lost member.
 func (s *State) applyEnd(r End) bool {
 	if !s.acceptEpoch(r.Epoch) {
 		return false
@@ -131,8 +135,11 @@
 		return false
 	}
 	u := js.Unit(r.Unit)
-	if u == nil || u.Run != r.Run || r.Member < 0 || r.Member >= len(u.Members) || u.Members[r.Member].Ended {
+	switch {
+	case u == nil:
 		return false
+	case u.Run != r.Run || r.Member < 0 || r.Member >= len(u.Members) || u.Members[r.Member].Ended:
+		return js.applyLostEnd(u, r)
 	}
 	m := &u.Members[r.Member]
 	m.Ended = true
@@ -145,7 +152,10 @@
 	case Failed:
 		u.RunFailed = true
 		u.addFailedOn(m.Worker)
+	case WorkerLost:
+		u.addLost(r)
 	case WorkerCrashed:
+		u.addLost(r)
 		u.countCrash(r)
 	}
 	for _, m := range u.Members {
@@ -161,6 +171,7 @@
 // or when one member has ended as done, which completes the whole gang.
 func (s *JobState) finishRun(u *Unit, r End) {
 	u.Members = nil
+	u.Resumed = false
 	u.RunEndedAt = r.At
 	u.LastOutcome = r.Outcome
 	step := &s.Job.Steps[u.ID.Step]
@@ -169,15 +180,22 @@
 	}
 	if u.RunFailed && !u.Done {
 		u.Failures++
+		u.markLostFailed(u.Run)
 	}
 	u.RunFailed = false
 	if r.Outcome == Done || r.At-u.RunStartedAt > crashBlameTime {
-		u.Crashes = nil
+		u.clearCrashes()
 	}
 	if u.Done {
 		s.UndoneUnits--
-		u.FailedOn = nil
+		u.FailedOn, u.Lost = nil, nil
 	}
+	s.endIfDecided(u, r)
+}
+
+// endIfDecided ends the job if all its units are done, or if the unit must not be
+// started again.
+func (s *JobState) endIfDecided(u *Unit, r End) {
 	if s.Phase.Final() {
 		return
 	}
@@ -185,9 +203,17 @@
 	case s.UndoneUnits == 0:
 		s.Phase = Finished
 		s.EndedAt = r.At
-	case !step.LongRunning && s.mustGiveUp(u):
+	case !s.Job.Steps[u.ID.Step].LongRunning && s.mustGiveUp(u):
 		s.Phase = JobFailed
 		s.EndedAt = r.At
+		s.forgetLost()
+	}
+}
+
+// forgetLost drops the lost members of all units.
+func (s *JobState) forgetLost() {
+	for i := range s.Units {
+		s.Units[i].Lost = nil
 	}
 }
 
--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -41,6 +41,9 @@
 	if r.Prompt {
 		c.Prompt++
 	}
+	if i := u.lostIndex(r.Run, r.Member); i >= 0 {
+		u.Lost[i].Crash, u.Lost[i].Prompt = true, r.Prompt
+	}
 }
 
 // CrashSuspect reports whether a worker crashed under the unit lately, perhaps
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -16,6 +16,10 @@
 	return Record{End: &End{Epoch: epoch, Unit: UnitID{Job: job}, Run: run, Member: member, Outcome: outcome, At: 9}}
 }
 
+func resume(epoch uint64, job string, run int) Record {
+	return Record{Resume: &Resume{Epoch: epoch, Unit: UnitID{Job: job}, Run: run, Incarnation: 1}}
+}
+
 func submit(job string, steps ...Step) Record {
 	return Record{Submit: &Job{ID: job, Attempts: 2, Steps: steps}}
 }
@@ -53,6 +57,31 @@
 		{"claim of the same epoch", []Record{submit("a", one), claim(1), claim(1)}, false, Queued},
 		{"start, its claim has expired", []Record{submit("a", one), start(3, "a", 1, "w")}, true, Running},
 		{"end, its claim has expired", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(3, "a", 1, 0, Done)}, true, Finished},
+		{"lost and done", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 0, Done)}, true, Finished},
+		{"lost and done beside the next run", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerCrashed), start(1, "a", 2, "v"), end(1, "a", 1, 0, Done)}, true, Finished},
+		{"start after a lost run is done", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 0, Done), start(1, "a", 2, "v")}, false, Finished},
+		{"lost twice", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 0, WorkerLost)}, false, Running},
+		{"lost and done, then the end of the next run", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "v"), end(1, "a", 1, 0, Done), end(1, "a", 2, 0, Stopped)}, false, Finished},
+		{"lost member of a gang is done while others end", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 0, Done)}, true, Finished},
+		{"lost member of a gang is done beside the next run", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 1, GangEnded), start(1, "a", 2, "v", "w"), end(1, "a", 1, 0, Done)}, true, Finished},
+		{"other member of the lost run is done", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 1, GangEnded), end(1, "a", 1, 1, Done)}, false, Running},
+		{"lost and failed, as often as allowed", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "v"), end(1, "a", 2, 0, Failed), end(1, "a", 1, 0, Failed)}, true, JobFailed},
+		{"lost and failed, while the last attempt runs", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "v"), end(1, "a", 2, 0, Failed), start(1, "a", 3, "u"), end(1, "a", 1, 0, Failed)}, true, JobFailed},
+		{"both lost members of a gang failed", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 1, WorkerLost), end(1, "a", 1, 0, Failed), end(1, "a", 1, 1, Failed)}, true, Running},
+		{"member failed, then the lost one", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 1, Failed), end(1, "a", 1, 0, Failed)}, true, Running},
+		{"lost member failed, then the other one", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 0, Failed), end(1, "a", 1, 1, Failed)}, true, Running},
+		{"lost and done after the cancellation", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), {Cancel: &Cancel{ID: "a"}}, end(1, "a", 1, 0, Done)}, false, Cancelled},
+		{"lasting task lost and done", []Record{claim(1), submit("a", Step{Count: 1, LongRunning: true}), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "w"), end(1, "a", 1, 0, Done), end(1, "a", 2, 0, Done)}, true, Running},
+		{"resumed", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), resume(1, "a", 1)}, true, Running},
+		{"resumed and done", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), resume(1, "a", 1), end(1, "a", 1, 0, Done)}, true, Finished},
+		{"resumed and lost again", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), resume(1, "a", 1), end(1, "a", 1, 0, WorkerLost), resume(1, "a", 1)}, true, Running},
+		{"resumed after an end that was not a loss", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, LeaseExpired), resume(1, "a", 1)}, false, Running},
+		{"resumed beside the next run", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "v"), resume(1, "a", 1)}, false, Running},
+		{"resumed after the next run", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), start(1, "a", 2, "v"), end(1, "a", 2, 0, Stopped), resume(1, "a", 1)}, false, Running},
+		{"resumed by an earlier epoch", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), claim(2), resume(1, "a", 1)}, false, Running},
+		{"resumed gang", []Record{claim(1), submit("a", gang), start(1, "a", 1, "v", "w"), end(1, "a", 1, 0, WorkerLost), end(1, "a", 1, 1, WorkerLost), resume(1, "a", 1)}, false, Running},
+		{"resumed after the cancellation", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), {Cancel: &Cancel{ID: "a"}}, resume(1, "a", 1)}, false, Cancelled},
+		{"start by a version that ignores the resumption", []Record{claim(1), submit("a", one), start(1, "a", 1, "w"), end(1, "a", 1, 0, WorkerLost), resume(1, "a", 1), claim(2), start(2, "a", 2, "v"), end(2, "a", 2, 0, Done)}, true, Finished},
 		{"start of an earlier epoch than a heartbeat", []Record{submit("a", one), heartbeat(3), start(2, "a", 1, "w")}, false, Queued},
 	}
 	for _, tt := range tests {
@@ -130,7 +159,7 @@
 		runs := map[string]int{}
 		for range rapid.IntRange(0, 30).Draw(t, "n") {
 			job := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
-			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
 			case 0, 1:
 				runs[job]++
 				records = append(records, start(1, job, runs[job], "v", "w"), start(1, job, runs[job], "v"))
@@ -139,6 +168,11 @@
 				records = append(records, end(1, job, runs[job], rapid.IntRange(0, 1).Draw(t, "member"), outcome))
 			case 4:
 				records = append(records, Record{Cancel: &Cancel{ID: job, At: 3}})
+			case 5:
+				records = append(records, resume(1, job, runs[job]))
+			case 6:
+				outcome := rapid.SampledFrom([]RunOutcome{Done, Failed, LeaseExpired}).Draw(t, "how")
+				records = append(records, end(1, job, rapid.IntRange(0, runs[job]).Draw(t, "run"), rapid.IntRange(0, 1).Draw(t, "member"), outcome))
 			}
 		}
 		for _, r := range records {
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -17,6 +17,7 @@
 	Resign    *LeaderNotice `cbor:"7,keyasint,omitempty"`
 	Rewrite   *JobState     `cbor:"8,keyasint,omitempty"`
 	Join      *Join         `cbor:"9,keyasint,omitempty"`
+	Resume    *Resume       `cbor:"10,keyasint,omitempty"`
 }
 
 // Join publishes the address at which other instances reach an instance.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -38,6 +38,8 @@
 
 	RunStartedAt int64        `cbor:"11,keyasint,omitempty"` // start of the newest run, Unix ms
 	Crashes      []CrashCount `cbor:"12,keyasint,omitempty"` // by member, see countCrash
+	Lost         []LostMember `cbor:"13,keyasint,omitempty"` // of the newest runs, oldest first; until the unit is done or its job has ended
+	Resumed      bool         `cbor:"14,keyasint,omitempty"` // the current run was lost before
 }
 
 // Active reports whether the unit has a run that has not ended.
