Let lost runs that are reported again count

A worker that was cut off together with its entry and its machine counts as gone within seconds. When it came back, a run that went on was stopped as an orphan and its work was lost; the end of one that was done was dropped and acknowledged, so the task ran again after an end that the worker could forget.

The leader now keeps an index of the lost runs of the state. A run that its worker reports as running, by the same incarnation, is taken back unless a start of its unit was decided; until the record is stored it holds its room and its lease, and the unit does not start. If the record has no effect the run is stopped as an orphan. A reported end is stored before it is acknowledged, and nothing of the unit starts meanwhile: if it is done, successors are stopped, and one whose request was not sent never starts. A successor whose request was not sent does not start beside an orphan run either. Reports that arrive while the loss is being stored count as well: such an end was dropped with the loss.

A unit with a run on a worker is no longer planned even if the state has no active run of it. That holds also for a lasting gang of which one member has ended as done while others still run. A run that was refused before it could start ends as stopped, not as lost, since it cannot come back.

--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -55,6 +55,7 @@
 	Remaining       time.Duration // while it drains: the least time that it announces to stay
 	Down            bool
 	Unlisted        bool  // it is not in the list of workers
+	Absent          bool  // it is not in the list of machines
 	StopErr         error // answer to all stop requests, which have no effect; nil if it carries them out
 
 	incarnation  int64
@@ -296,7 +297,9 @@
 	defer ws.mu.Unlock()
 	var out []leader.Machine
 	for _, id := range slices.Sorted(maps.Keys(ws.List)) {
-		out = append(out, leader.Machine{Name: "machine of " + id, Worker: id})
+		if !ws.List[id].Absent {
+			out = append(out, leader.Machine{Name: "machine of " + id, Worker: id})
+		}
 	}
 	return out
 }
--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -147,7 +147,7 @@
 	switch {
 	case n.endProposed || n.settled():
 	case n.neverStarted():
-		r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
+		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
 		go l.Feed.Propose(l.Epoch, r)
 	default:
 		l.stopUnit(n.unit, "refused, but an earlier request was not answered")
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -33,6 +33,7 @@
 	mu             sync.Mutex
 	workers        map[string]*worker
 	unitRuns       map[ledger.UnitID][]*run       // all runs of workers, by unit
+	lost           map[ledger.UnitID][]*lostRun   // lost runs that may be reported again, by unit
 	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
 	reservations   map[ledger.UnitID]reservation
@@ -71,9 +72,12 @@
 	checkpoint  string
 	progress    progressSample
 	stopping    bool
-	inherited   bool // started by an earlier leader, and not reported to this one
-	removed     bool // no longer among the runs of its worker
-	endProposed bool // a record of its end has been proposed
+	inherited   bool      // started by an earlier leader, and not reported to this one
+	removed     bool      // no longer among the runs of its worker
+	endProposed bool      // a record of its end has been proposed
+	lossCause   lossCause // why this end was proposed, if the run is lost
+	returned    bool      // the worker has reported it as running since
+	resuming    bool      // it was lost; a record that takes it back has been proposed
 }
 
 // Init prepares the leader from the replicated state. The caller holds the
@@ -83,6 +87,7 @@
 	l.startedAt = time.Now()
 	l.workers = make(map[string]*worker)
 	l.unitRuns = make(map[ledger.UnitID][]*run)
+	l.lost = make(map[ledger.UnitID][]*lostRun)
 	l.unsentStarts = make(map[*run]int64)
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
 	l.reservations = make(map[ledger.UnitID]reservation)
@@ -97,6 +102,7 @@
 	for _, js := range s.Jobs {
 		for i := range js.Units {
 			l.inheritRuns(js, &js.Units[i])
+			l.updateLost(js, &js.Units[i])
 		}
 	}
 }
@@ -243,6 +249,8 @@
 		l.applyStart(s, r.Start, effective)
 	case r.End != nil && r.End.Epoch == l.Epoch:
 		l.applyEnd(s, r.End, effective)
+	case r.Resume != nil && r.Resume.Epoch == l.Epoch:
+		l.applyResume(s, r.Resume, effective)
 	case r.Cancel != nil && effective:
 		l.stopJob(s.Jobs[r.Cancel.ID], "cancelled")
 	case r.Submit != nil && effective:
@@ -271,20 +279,15 @@
 		l.unsentStarts[n] = req.size()
 		go l.deliverStart(w, n, req)
 	}
+	l.updateLost(js, u)
+	l.stopBlocked(u.ID)
 }
 
 // applyEnd removes the run whose end is stored, and stops the other runs of its
 // gang or job if these cannot go on. The caller holds the feed's lock and l.mu.
 func (l *Leader) applyEnd(s *ledger.State, r *ledger.End, effective bool) {
 	js := s.Jobs[r.Unit.Job]
-	for _, n := range slices.Clone(l.unitRuns[r.Unit]) {
-		if n.member == r.Member && n.key.run == r.Run {
-			l.removeRun(n)
-			n.worker.markStored(n.key)
-			n.worker.recordOutcome(r)
-			n.worker.wakeSession()
-		}
-	}
+	l.removeEnded(s, r, effective)
 	l.wakePlanner()
 	if js == nil {
 		return
@@ -298,7 +301,7 @@
 		}
 		return
 	}
-	if u != nil && u.Active() && effective && r.Outcome != ledger.Done {
+	if u != nil && u.Active() && u.Run == r.Run && effective && r.Outcome != ledger.Done {
 		l.stopUnit(r.Unit, "gang broken")
 	}
 	if effective && js.Phase == ledger.Finished {
@@ -306,9 +309,38 @@
 	}
 }
 
+// removeEnded removes the run whose end is stored from its worker and from the lost
+// runs. The caller holds the feed's lock and l.mu.
+func (l *Leader) removeEnded(s *ledger.State, r *ledger.End, effective bool) {
+	lost := r.Outcome == ledger.WorkerLost || r.Outcome == ledger.WorkerCrashed
+	if !lost {
+		l.applyLostEnd(r, effective)
+	}
+	var ended []*run
+	for _, n := range slices.Clone(l.unitRuns[r.Unit]) {
+		if n.member != r.Member || n.key.run != r.Run {
+			continue
+		}
+		ended = append(ended, n)
+		l.removeRun(n)
+		if !lost || !l.hasEnded(n) {
+			n.worker.markStored(n.key)
+		}
+		n.worker.recordOutcome(r)
+		n.worker.wakeSession()
+	}
+	l.updateLostOf(s, r.Unit)
+	for _, n := range ended {
+		if lost {
+			l.applyLoss(n)
+		}
+	}
+}
+
 // stopJob stops all runs of a job. The caller holds l.mu.
 func (l *Leader) stopJob(js *ledger.JobState, cause string) {
 	for i := range js.Units {
+		l.updateLost(js, &js.Units[i])
 		l.stopUnit(js.Units[i].ID, cause)
 	}
 }
--- a/internal/fleet/leader/lost.go
+++ b/internal/fleet/leader/lost.go
@@ -51,6 +51,7 @@
 			zap.Bool("suspect", suspects[n]), zap.Bool("reported", n.reported), zap.Bool("inherited", n.inherited),
 			zap.Duration("ran", now.Sub(n.startedAt)), zap.Duration("silent", now.Sub(w.lastAnswer)))
 		r := l.endRun(n, outcome, n.checkpoint, now)
+		n.lossCause = cause
 		r.End.Prompt = cause != lossUnreachable && n.accepted && !n.reported
 		records = append(records, r)
 	}
--- a/internal/fleet/leader/orphan.go
+++ b/internal/fleet/leader/orphan.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -32,6 +34,16 @@
 	return found
 }
 
+// logOrphan logs an orphan run that was found, and how it was lost if that is known.
+// The caller holds l.mu.
+func (l *Leader) logOrphan(w *worker, n *run) {
+	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run)}
+	if r := l.findLost(w, n.key); r != nil {
+		fields = append(fields, zap.String("lost", string(r.cause)), zap.Duration("after", time.Since(r.lostAt)))
+	}
+	l.Logger.Info("orphan run on worker; stopping it", fields...)
+}
+
 // dropOrphans removes all orphan runs of a worker on which they have ended.
 func (w *worker) dropOrphans() {
 	for _, n := range w.orphans {
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -160,7 +160,7 @@
 		}
 	}
 	orphaned := l.orphanUnits(s)
-	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool { return orphaned[u.ID] })
+	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool { return orphaned[u.ID] || l.runReturned(u.ID) })
 	free := make(map[string]*plan.Resources, len(l.workers))
 	for id, w := range l.workers {
 		total := w.entry.Total
@@ -267,6 +267,11 @@
 		for _, m := range u.Members {
 			out[m.Worker]++
 		}
+		if !u.Active() {
+			for _, n := range l.unitRuns[u.ID] {
+				out[n.worker.id]++
+			}
+		}
 		for _, id := range l.proposedStarts[u.ID].Workers {
 			out[id]++
 		}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -40,8 +40,14 @@
 		key := runKey{t.Task, t.Run}
 		present[key] = true
 		n := w.runs[key]
+		if n == nil && !ex.sent.Before(w.reportSentAt) { // otherwise it may have ended since
+			var resume []ledger.Record
+			n, resume = l.resumeReported(w, key, rep.Incarnation)
+			records = append(records, resume...)
+		}
 		if n == nil || n.endProposed && n.incarnation != rep.Incarnation { // it has started again while its end is being stored
 			orphans[key] = true
+			l.stopUnsent(key)
 			continue
 		}
 		n.updateFromReport(t, rep.Incarnation)
@@ -57,13 +63,12 @@
 	if len(rep.Ended) < MaxReportedEnds { // otherwise further runs may have ended
 		records = append(records, l.endAbsent(w, present, ex.sent, now)...)
 	}
-	found := w.updateOrphans(orphans, ex.sent)
-	l.mu.Unlock()
-	l.Feed.Propose(l.Epoch, records...)
-	for _, n := range found {
-		l.Logger.Info("orphan run on worker; stopping it", zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run))
+	for _, n := range w.updateOrphans(orphans, ex.sent) {
+		l.logOrphan(w, n)
 		go l.deliverStop(w, n)
 	}
+	l.mu.Unlock()
+	l.Feed.Propose(l.Epoch, records...)
 	return false
 }
 
@@ -121,6 +126,7 @@
 func (n *run) updateFromReport(t RunningTask, incarnation int64) {
 	n.settle()
 	n.reported, n.inherited, n.incarnation = true, false, incarnation
+	n.returned = n.endProposed && n.lossCause != ""
 	n.progress.add(t.Percent, time.Now())
 	if t.Checkpoint != "" {
 		n.checkpoint = t.Checkpoint
@@ -133,9 +139,7 @@
 	key := runKey{t.Task, t.Run}
 	n := w.runs[key]
 	if n == nil || n.endProposed {
-		l.logDroppedEnd(w, t, n)
-		w.ends = append(w.ends, reportedEnd{t.Seq, key, n == nil})
-		return nil
+		return l.recordLostEnd(w, t, n, now)
 	}
 	w.ends = append(w.ends, reportedEnd{t.Seq, key, false})
 	if t.Outcome != ledger.Done && t.Outcome != ledger.Stopped {
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -65,7 +65,7 @@
 	switch {
 	case w.entry.Addr == "":
 		pause = time.Second
-	case !w.listed && !w.busy():
+	case !w.listed && !w.busy() && !l.mayReturn(w):
 		pause = time.Hour
 	case !answered:
 		pause = syncRetryDelay
