Log no dropped end for the other members of a gang that is done

One end as done stands for the whole gang. The ends of its other lost members have no effect and need no line each.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -314,7 +314,7 @@
 func (l *Leader) removeEnded(s *ledger.State, r *ledger.End, effective bool) {
 	lost := r.Outcome == ledger.WorkerLost || r.Outcome == ledger.WorkerCrashed
 	if !lost {
-		l.applyLostEnd(r, effective)
+		l.applyLostEnd(r, effective, unitDone(s, r.Unit))
 	}
 	var ended []*run
 	for _, n := range slices.Clone(l.unitRuns[r.Unit]) {
--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -246,17 +246,18 @@
 }
 
 // applyLostEnd acts on a stored end of a lost run: the worker may forget it, and
-// what was started after a run that is done is stopped. The caller holds the feed's
-// lock and l.mu.
-func (l *Leader) applyLostEnd(r *ledger.End, effective bool) {
+// what was started after a run that is done is stopped. done reports whether the unit
+// is done. The caller holds l.mu.
+func (l *Leader) applyLostEnd(r *ledger.End, effective, done bool) {
 	for _, o := range slices.Clone(l.lost[r.Unit]) {
 		if o.key.run != r.Run || o.member != r.Member || !o.endProposed {
 			continue
 		}
 		l.setLost(r.Unit, slices.DeleteFunc(l.lost[r.Unit], func(x *lostRun) bool { return x == o }))
-		if effective {
+		switch {
+		case effective:
 			l.stopSuccessors(o)
-		} else {
+		case !done: // otherwise another member of the gang was done first
 			l.Logger.Info("reported end of a lost run has no effect", append(o.fields(), zap.String("how", string(r.Outcome)))...)
 		}
 		if w := l.workers[o.worker]; w != nil {
@@ -267,6 +268,16 @@
 	}
 }
 
+// unitDone reports whether the state has the unit and it is done.
+func unitDone(s *ledger.State, id ledger.UnitID) bool {
+	js := s.Jobs[id.Job]
+	if js == nil {
+		return false
+	}
+	u := js.Unit(id)
+	return u != nil && u.Done
+}
+
 // hasEnded reports whether the worker has reported an end of a run that counts as
 // lost. The caller holds l.mu.
 func (l *Leader) hasEnded(n *run) bool {
--- a/internal/fleet/leader/returned_test.go
+++ b/internal/fleet/leader/returned_test.go
@@ -311,3 +311,13 @@
 	}
 	is.Equal(len(s.other.runs), 2)
 }
+
+// Guards against a second run of a lasting gang beside members of the first one, after another member has ended as done.
+func TestLastingGangIsNotDoubled(t *testing.T) {
+	is := is.New(t)
+	s := newReturnTest(t, ledger.Step{Count: 2, Gang: true, LongRunning: true})
+	s.end(1, ledger.Done)
+	is.Equal(s.waiting(), 0)
+	s.apply(ledger.Record{End: &ledger.End{Epoch: 1, Unit: returnUnit, Run: 1, Member: 1, Outcome: ledger.GangEnded}})
+	is.Equal(s.waiting(), 1)
+}
