Play workers that vanish from all lists and come back

No generated history had a run that counted as lost and was reported again while it could still count: a run was lost only after its lease had ended. The new histories let the only worker that fits all jobs vanish from both lists and the network for up to 5 s, with restarts and freezes of the leader and lost answers.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -29,6 +29,7 @@
 	Violations      []string              // violated guarantees
 	StartCounts     map[leader.TaskID]int // start requests that workers carried out
 
+	lastStart    map[leader.TaskID]time.Time // newest start that a worker carried out
 	done         map[leader.TaskID]bool
 	doneAcked    map[leader.TaskID]bool // the system acknowledged that the task ended as done
 	stepFinished map[stepKey]bool       // a task of the step ended as done, which is enough for a gang
@@ -57,6 +58,7 @@
 		Evacuated:    make(map[string]time.Time),
 		Refused:      make(map[string]bool),
 		StartCounts:  make(map[leader.TaskID]int),
+		lastStart:    make(map[leader.TaskID]time.Time),
 		done:         make(map[leader.TaskID]bool),
 		doneAcked:    make(map[leader.TaskID]bool),
 		stepFinished: make(map[stepKey]bool),
@@ -82,6 +84,7 @@
 // if the worker cannot carry it out because no such job was submitted.
 func (r *Checker) checkStart(ws *Workers, w *Worker, o leader.StartRequest, late bool) bool {
 	r.StartCounts[o.Task]++
+	r.lastStart[o.Task] = time.Now()
 	j, ok := r.Jobs[o.Task.Job]
 	if !ok {
 		r.addViolation("UNASKED", "unknown job ", o.Task)
@@ -224,10 +227,13 @@
 	}
 }
 
-// recordAck records an end that the system acknowledged as stored.
-func (r *Checker) recordAck(e leader.EndedTask) {
+// recordAck records that the system acknowledged an end, at the given time, as stored.
+func (r *Checker) recordAck(e leader.EndedTask, endedAt time.Time) {
 	switch e.Outcome {
 	case ledger.Done:
+		if at := r.lastStart[e.Task]; at.After(endedAt) && !r.Jobs[e.Task.Job].Steps[e.Task.Step].LongRunning {
+			r.addViolation("TWICE", e.Task, " started ", at.Sub(endedAt), " after run ", e.Run, " ended as done, which was stored later")
+		}
 		r.doneAcked[e.Task] = true
 	case ledger.Failed:
 		r.failures[e.Task]++
--- a/internal/fleet/fleettest/requests.go
+++ b/internal/fleet/fleettest/requests.go
@@ -172,7 +172,7 @@
 		// An acknowledgement does not count if the lease expired after the
 		// end: the system must then treat the worker's runs as lost.
 		if e := w.ended[0]; !w.lastUnleased.After(w.endedAt[e.Seq]) {
-			ws.Checker.recordAck(e)
+			ws.Checker.recordAck(e, w.endedAt[e.Seq])
 		}
 		w.ended = w.ended[1:]
 	}
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -85,6 +85,7 @@
 	c         *cluster
 	rnd       *rand.Rand
 	accepted  map[string]bool
+	label     string // if set, tasks need this label of a worker, and fit on one worker
 	ids       []string
 	submitted chan struct{} // receives a value for each job whose submission has ended
 }
@@ -321,6 +322,9 @@
 		if !s.Gang && h.rnd.IntN(3) == 0 {
 			s.MaxPerWorker = 1
 		}
+		if h.label != "" {
+			s.Label, s.GPU, s.MaxPerWorker = h.label, 1, 0
+		}
 		j.Steps = append(j.Steps, s)
 	}
 	if h.rnd.IntN(6) == 0 {
--- a/internal/fleet/instance/returned_test.go
+++ b/internal/fleet/instance/returned_test.go
@@ -1,14 +1,21 @@
 package instance
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap/zaptest/observer"
 
+	"jasminelane.example/lane/internal/fleet/fleettest"
 	"jasminelane.example/lane/internal/fleet/leader"
 	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/plan"
 )
 
 // vanish cuts a worker off from all instances and takes it out of all lists, or
@@ -93,3 +100,83 @@
 		})
 	}
 }
+
+// Guards against combinations of faults in which a task runs twice because the run of
+// a worker that was cut off and gone from all lists counted as lost. All tasks need the
+// same worker, so that no other one can start them meanwhile.
+func TestHistoriesOfLostRuns(t *testing.T) {
+	var played, returned atomic.Int64
+	t.Cleanup(func() {
+		if played.Load() >= 100 && returned.Load() == 0 {
+			t.Error("no lost run came back")
+		}
+	})
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var violations []string
+			r := runCluster(t, seed, 3, 5, func(c *cluster) {
+				violations = playLostRuns(c, seed)
+				played.Add(1)
+				returned.Add(int64(c.lines.observed.Filter(isReturn).Len()))
+			})
+			for _, v := range append(r.Violations, violations...) {
+				t.Error(v)
+			}
+		})
+	}
+}
+
+// isReturn reports whether the line tells of a lost run that was reported again.
+func isReturn(e observer.LoggedEntry) bool {
+	return strings.HasPrefix(e.Message, "lost run has come back")
+}
+
+// playLostRuns plays a history in which one worker vanishes again and again. It returns
+// the promises that are not kept at its end.
+func playLostRuns(c *cluster, seed uint64) []string {
+	h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 7)), accepted: make(map[string]bool), label: "r1"}
+	time.Sleep(6 * time.Second) // until the machine is expected in the list
+	h.c.workers.WithLock(func() {
+		h.c.rules.NoDisruption = false
+		h.c.workers.List["w4"].Total = plan.Resources{CPU: 32000, Memory: 32000, GPU: 32}
+	})
+	for range 1 + h.rnd.IntN(4) {
+		h.during(h.randomTime(), h.randomSpan()/2, func(on bool) { c.vanish("w4", on) })
+	}
+	for range h.rnd.IntN(4) {
+		h.drawLeaderFault()
+	}
+	h.load()
+	h.heal()
+	c.vanish("w4", false)
+	return h.checkEnd()
+}
+
+// drawLeaderFault draws a fault that may change the leader or delay its records.
+func (h *history) drawLeaderFault() {
+	span, fraction := h.randomSpan(), 0.05+0.4*h.rnd.Float64()
+	leading := func() *node {
+		if n := h.c.leader(); n != nil {
+			return n
+		}
+		return h.c.nodes[0]
+	}
+	switch h.rnd.IntN(5) {
+	case 0:
+		h.after(h.randomTime(), func() { h.c.restart(leading()) })
+	case 1:
+		h.after(h.randomTime(), func() { h.c.freeze(leading(), span) })
+	case 2:
+		h.during(h.randomTime(), span, func(on bool) {
+			h.c.log.SetFaults(func(l *fleettest.LogFaults) { l.LostResponseRate = fraction * oneIf(on) })
+		})
+	case 3:
+		h.during(h.randomTime(), span, func(on bool) {
+			h.c.workers.WithLock(func() { h.c.workers.LostResponseRate = fraction * oneIf(on) })
+		})
+	case 4:
+		h.c.workers.WithLock(func() { h.c.workers.FailureRate = 0.1 })
+	}
+}
