Report a job that stands still and a start after an unacknowledged end

The checker of the workers' histories knew an end as done only once it was acknowledged, so a second run that started before the acknowledgement was not reported unless both ran at the same time. It had no check for an accepted job of which a task could run while nothing of it does.

No test asks for the second check yet.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -26,6 +26,9 @@
 	Refused         map[string]bool       // jobs that the system reported as not accepted
 	IncompleteGangs []string              // tasks that ended because their gang was not complete in time
 	NoDisruption    bool                  // the test injects no faults
+	Accepted        map[string]time.Time  // when a job was accepted; jobs that are not here are not checked for standing still
+	CancelSent      map[string]bool       // jobs of which a cancellation was requested
+	Ended           map[string]bool       // jobs that the system has shown as ended
 	Violations      []string              // violated guarantees
 	StartCounts     map[leader.TaskID]int // start requests that workers carried out
 
@@ -36,6 +39,19 @@
 	failedRuns   map[leader.TaskID]int  // runs that failed
 	crashes      map[leader.TaskID]int  // workers that crashed while they ran the task
 	deadlyStarts map[leader.TaskID]int  // starts of a deadly task after maxCrashes crashes
+	doneRuns     map[taskRunID]string   // runs that ended as done, with a later start of their task if there is one
+
+	disruptions  int       // disruptions that have begun and not ended
+	disruptedAt  time.Time // last time of a disruption
+	stillChecked time.Time
+	lastActive   map[waiting]time.Time // last begin or end of a run
+	still        map[waiting]*still
+}
+
+// taskRunID identifies a run of a task.
+type taskRunID struct {
+	task leader.TaskID
+	run  int
 }
 
 const (
@@ -64,6 +80,12 @@
 		failedRuns:   make(map[leader.TaskID]int),
 		crashes:      make(map[leader.TaskID]int),
 		deadlyStarts: make(map[leader.TaskID]int),
+		doneRuns:     make(map[taskRunID]string),
+		Accepted:     make(map[string]time.Time),
+		CancelSent:   make(map[string]bool),
+		Ended:        make(map[string]bool),
+		lastActive:   make(map[waiting]time.Time),
+		still:        make(map[waiting]*still),
 	}
 }
 
@@ -82,6 +104,7 @@
 // if the worker cannot carry it out because no such job was submitted.
 func (r *Checker) checkStart(ws *Workers, w *Worker, o leader.StartRequest, late bool) bool {
 	r.StartCounts[o.Task]++
+	r.recordActive(o.Task)
 	j, ok := r.Jobs[o.Task.Job]
 	if !ok {
 		r.addViolation("UNASKED", "unknown job ", o.Task)
@@ -109,6 +132,7 @@
 	if r.doneAcked[o.Task] {
 		r.addViolation("TWICE", o.Task, " run ", o.Run, " after its end was stored")
 	}
+	r.recordStartAfterDone(w, o)
 	for _, before := range s.After {
 		if !r.stepDone(j, o.Task.Occurrence, before) {
 			r.addViolation("ORDER", o.Task, " before step ", before)
@@ -214,8 +238,19 @@
 	return true
 }
 
+// recordStartAfterDone records that a task starts of which a run has ended as done.
+func (r *Checker) recordStartAfterDone(w *Worker, o leader.StartRequest) {
+	for id, start := range r.doneRuns {
+		if id.task == o.Task && start == "" {
+			r.doneRuns[id] = fmt.Sprint("run ", o.Run, " on ", w.ID)
+		}
+	}
+}
+
 func (r *Checker) recordEnd(run *taskRun, how ledger.RunOutcome) {
+	r.recordActive(run.task)
 	if how == ledger.Done {
+		r.doneRuns[taskRunID{run.task, run.run}] = ""
 		r.done[run.task] = true
 		r.stepFinished[stepOf(run.task)] = true
 	}
@@ -229,6 +264,10 @@
 	switch e.Outcome {
 	case ledger.Done:
 		r.doneAcked[e.Task] = true
+		if start := r.doneRuns[taskRunID{e.Task, e.Run}]; start != "" {
+			r.addViolation("TWICE", e.Task, " ", start, " after run ", e.Run, " ended as done, which was acknowledged later")
+		}
+		delete(r.doneRuns, taskRunID{e.Task, e.Run})
 	case ledger.Failed:
 		r.failures[e.Task]++
 	}
--- a/internal/fleet/fleettest/workerfault.go
+++ b/internal/fleet/fleettest/workerfault.go
@@ -20,6 +20,7 @@
 	for task := range w.runs {
 		ws.Checker.crashes[task]++
 	}
+	ws.Checker.disruptedAt = time.Now()
 	w.Down = true
 	w.runs = make(map[leader.TaskID]*taskRun)
 	w.notify()
@@ -48,6 +49,7 @@
 func (ws *Workers) returnCrashed(w *Worker) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
+	ws.Checker.disruptedAt = time.Now()
 	switch {
 	case ws.List[w.ID] == w && w.Down:
 		ws.boot(w)
@@ -78,6 +80,7 @@
 func (ws *Workers) Reboot(id string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
+	ws.Checker.disruptedAt = time.Now()
 	if w := ws.List[id]; w != nil {
 		ws.boot(w)
 	}
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,6 +38,9 @@
 	delayed      bool      // started by a request that took effect late
 }
 
+// anyLabel is a label of all workers. Their other one is their rack.
+const anyLabel = "a"
+
 // Worker is a fake worker that follows the platform's rules for leases, leader
 // epochs and run numbers. The exported fields are set before Workers.Add and
 // change only within Workers.WithLock.
@@ -124,8 +128,12 @@
 // Running returns the number of runs on the worker.
 func (w *Worker) Running() int { return len(w.runs) }
 
-// runTime returns how long a task runs until it is done.
+// runTime returns how long a task runs until it is done. A long-running task never
+// is.
 func (ws *Workers) runTime(t leader.TaskID) time.Duration {
+	if ws.Checker.Jobs[t.Job].Steps[t.Step].LongRunning {
+		return math.MaxInt64
+	}
 	return time.Duration(ws.Checker.Jobs[t.Job].Steps[t.Step].Estimate) * time.Millisecond
 }
 
@@ -208,6 +216,7 @@
 			ws.advanceRun(w, r, members, now)
 		}
 	}
+	ws.Checker.checkStill(ws, now)
 }
 
 // advanceRun starts, continues or ends one run; members are the current runs of its gang.
@@ -267,7 +276,7 @@
 	var out []leader.WorkerEntry
 	for _, w := range ws.List {
 		if !w.Down && !w.Unlisted {
-			out = append(out, leader.WorkerEntry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Zone: w.Domain, Rack: w.Rack, Labels: []string{"a", w.Rack}, Total: w.Total, Incarnation: w.incarnation, Draining: w.Draining, Remaining: w.Remaining})
+			out = append(out, leader.WorkerEntry{ID: w.ID, Addr: cmp.Or(w.Addr, w.ID), Service: w.Service, Zone: w.Domain, Rack: w.Rack, Labels: []string{anyLabel, w.Rack}, Total: w.Total, Incarnation: w.incarnation, Draining: w.Draining, Remaining: w.Remaining})
 		}
 	}
 	return out
