Log the runs that keep their unit from starting, and how a gang broke

Callers saw a job that had nothing running for seconds after a gang broke, and the log did not tell why: a unit counts as running until all of its runs are proven to have ended, and nothing was written meanwhile. Nor could the first member that ended be found if it ended as stopped.

The first end in a gang is logged with its worker, member and outcome.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -180,6 +180,7 @@
 	go l.reachabilityLoop()
 	go l.departureLoop()
 	go l.stragglerLoop()
+	go l.pendingLoop()
 	l.planLoop()
 	l.Logger.Info("leader ended", zap.Uint64("epoch", l.Epoch))
 }
@@ -299,7 +300,7 @@
 		return
 	}
 	if u != nil && u.Active() && effective && r.Outcome != ledger.Done {
-		l.stopUnit(r.Unit, "gang broken")
+		l.breakGang(u, r)
 	}
 	if effective && js.Phase == ledger.Finished {
 		l.Logger.Info("job done", zap.String("job", js.Job.ID), zap.String("queue", js.Job.Queue), zap.Int64("took", r.At-js.Job.AcceptedAt))
