Find workers that left before a new leader could ask them

What callers saw: a job of which one task was on a worker that had left stood still for 24 s after a change of the leader, although there was room. A worker that a new leader knows from the runs of the leader before only has no address, so it is never asked, never counts as one that does not answer, and its runs waited for the inherited leases (23.3 s).

A worker without an entry, of which this leader has never seen an address, is looked up in the list of machines again. What proves that it is gone is unchanged: two lists in a row without it, read 5 s and more after the leader began, by when the entry of a worker that is up is back. A worker with an address is still asked first, and an unreadable entry still counts as an entry.

--- /dev/null
+++ b/internal/fleet/instance/brokengang_test.go
@@ -0,0 +1,285 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminelane.example/lane/internal/fleet/leader"
+	"jasminelane.example/lane/internal/fleet/ledger"
+)
+
+const (
+	// maxIdle is how long a job may have nothing running while there is room for it.
+	maxIdle = 3 * time.Second
+
+	// maxIdleAfterCrash is how long a run may be possible on a worker that does not
+	// answer: until its lease has ended.
+	maxIdleAfterCrash = 7 * time.Second
+
+	// maxIdleAfterDeparture is how long a new leader may take to find out that a
+	// worker has left that it has never seen.
+	maxIdleAfterDeparture = 7 * time.Second
+)
+
+// requestHooks replace or delay the requests of all instances to the workers. A
+// nil hook changes nothing.
+type requestHooks struct {
+	mu    sync.Mutex
+	start func(req leader.StartRequest, send func() error) error
+	stop  func(t leader.Target, req leader.StopRequest, send func() error) error
+	sync  func(ctx context.Context, t leader.Target, send func() (leader.Report, error)) (leader.Report, error)
+}
+
+// set changes the hooks.
+func (h *requestHooks) set(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// wrap applies the hooks to the requests of an instance.
+func (h *requestHooks) wrap(n *Instance) {
+	client := n.WorkerClient
+	n.WorkerClient = leader.WorkerClient{
+		Start: func(ctx context.Context, t leader.Target, req leader.StartRequest) error {
+			h.mu.Lock()
+			hook := h.start
+			h.mu.Unlock()
+			send := func() error { return client.Start(ctx, t, req) }
+			if hook == nil {
+				return send()
+			}
+			return hook(req, send)
+		},
+		Stop: func(ctx context.Context, t leader.Target, req leader.StopRequest) error {
+			h.mu.Lock()
+			hook := h.stop
+			h.mu.Unlock()
+			send := func() error { return client.Stop(ctx, t, req) }
+			if hook == nil {
+				return send()
+			}
+			return hook(t, req, send)
+		},
+		Sync: func(ctx context.Context, t leader.Target, req leader.SyncRequest) (leader.Report, error) {
+			h.mu.Lock()
+			hook := h.sync
+			h.mu.Unlock()
+			send := func() (leader.Report, error) { return client.Sync(ctx, t, req) }
+			if hook == nil {
+				return send()
+			}
+			return hook(ctx, t, send)
+		},
+	}
+}
+
+// idleTimes measures how long a job has nothing running between two of its runs.
+type idleTimes struct {
+	longest time.Duration
+}
+
+// watch samples the workers until the context ends.
+func (m *idleTimes) watch(ctx context.Context, c *cluster, id string) {
+	var lastRun time.Time
+	for ctx.Err() == nil {
+		if c.workers.RunningTasks(id) > 0 {
+			if !lastRun.IsZero() {
+				m.longest = max(m.longest, time.Since(lastRun))
+			}
+			lastRun = time.Now()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+var (
+	errLost = &leader.NoAnswerError{Err: errors.New("no answer")}
+	errBusy = &leader.RefusedError{Reason: leader.RefusedUnhealthy}
+)
+
+// firstStarts returns a hook that answers the first attempts to start the member
+// of the first run by f, which gets the number of the attempt, and passes on all
+// others. f returns false to pass an attempt on as well.
+func firstStarts(member int, f func(try int, send func() error) (error, bool)) func(leader.StartRequest, func() error) error {
+	var mu sync.Mutex
+	tries := 0
+	return func(req leader.StartRequest, send func() error) error {
+		if req.Task.Index != member || req.Run != 1 {
+			return send()
+		}
+		mu.Lock()
+		tries++
+		try := tries
+		mu.Unlock()
+		if err, ok := f(try, send); ok {
+			return err
+		}
+		return send()
+	}
+}
+
+// Guards against a gang that stands still although it is proven, or could be, that none of its members runs any more.
+func TestBrokenGangStartsAgain(t *testing.T) {
+	type breaker struct {
+		*cluster
+		hooks *requestHooks
+	}
+	fail := func(b *breaker) { b.workers.FailRun(b.workers.Hosts("a")[3]) }
+	tests := []struct {
+		name   string
+		before func(b *breaker) // before the job is submitted
+		during func(b *breaker) // while it runs
+		limit  time.Duration
+	}{
+		{"a member fails", nil, fail, maxIdle},
+		{"a start is refused", func(b *breaker) {
+			b.hooks.start = firstStarts(5, func(int, func() error) (error, bool) { return errBusy, true })
+		}, nil, maxIdle},
+		{"a start is refused late", func(b *breaker) {
+			b.hooks.start = firstStarts(5, func(int, func() error) (error, bool) {
+				time.Sleep(300 * time.Millisecond)
+				return errBusy, true
+			})
+		}, nil, maxIdle},
+		{"a start is lost, then refused", func(b *breaker) {
+			b.hooks.start = firstStarts(5, func(try int, _ func() error) (error, bool) {
+				if try > 1 {
+					return errBusy, true
+				}
+				time.Sleep(400 * time.Millisecond)
+				return errLost, true
+			})
+		}, nil, maxIdle},
+		{"no start of a member is answered", func(b *breaker) {
+			b.hooks.start = firstStarts(5, func(try int, _ func() error) (error, bool) {
+				time.Sleep(400 * time.Millisecond)
+				return errLost, true
+			})
+		}, nil, maxIdle},
+		{"a stop overtakes a start", func(b *breaker) {
+			busy := firstStarts(5, func(int, func() error) (error, bool) { return errBusy, true })
+			b.hooks.start = func(req leader.StartRequest, send func() error) error {
+				if req.Run == 1 && req.Task.Index%4 == 0 {
+					time.Sleep(200 * time.Millisecond)
+				}
+				return busy(req, send)
+			}
+		}, nil, maxIdle},
+		{"stops are refused for a while", nil, func(b *breaker) {
+			until := time.Now().Add(time.Second)
+			b.hooks.set(func() {
+				b.hooks.stop = func(_ leader.Target, _ leader.StopRequest, send func() error) error {
+					if time.Now().Before(until) {
+						return errBusy
+					}
+					return send()
+				}
+			})
+			fail(b)
+		}, maxIdle},
+		{"stops are not answered for a while", nil, func(b *breaker) {
+			until := time.Now().Add(time.Second)
+			b.hooks.set(func() {
+				b.hooks.stop = func(_ leader.Target, _ leader.StopRequest, send func() error) error {
+					if time.Now().Before(until) {
+						time.Sleep(400 * time.Millisecond)
+						return errLost
+					}
+					return send()
+				}
+			})
+			fail(b)
+		}, maxIdle},
+		{"reports arrive late", nil, func(b *breaker) {
+			b.hooks.set(func() {
+				b.hooks.sync = func(_ context.Context, _ leader.Target, send func() (leader.Report, error)) (leader.Report, error) {
+					rep, err := send()
+					time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+					return rep, err
+				}
+			})
+			fail(b)
+		}, maxIdle},
+		{"a worker crashes and is replaced", nil, func(b *breaker) { b.workers.Remove(b.workers.Hosts("a")[3]) }, maxIdle},
+		{"a worker restarts", nil, func(b *breaker) {
+			id := b.workers.Hosts("a")[3]
+			b.workers.Crash(id)
+			time.Sleep(time.Second)
+			b.workers.Reboot(id)
+		}, maxIdle},
+		{"a worker crashes and stays", nil, func(b *breaker) { b.workers.Crash(b.workers.Hosts("a")[3]) }, maxIdleAfterCrash},
+		{"a worker crashes under a start, and restarts", func(b *breaker) {
+			b.hooks.start = firstStarts(5, func(try int, send func() error) (error, bool) {
+				if try > 1 {
+					return nil, false
+				}
+				_ = send()
+				id := ""
+				for _, h := range b.workers.Hosts("a") {
+					id = h
+				}
+				b.workers.Crash(id)
+				time.AfterFunc(time.Second, func() { b.workers.Reboot(id) })
+				return errLost, true
+			})
+		}, nil, maxIdle},
+		{"a worker drains", nil, func(b *breaker) { b.workers.Drain(b.workers.Hosts("a")[3], 2*time.Second) }, maxIdle},
+		{"the leader ends", nil, func(b *breaker) {
+			fail(b)
+			b.restart(b.leader())
+		}, maxIdle},
+		{"the leader ends and a worker is replaced", nil, func(b *breaker) {
+			b.workers.Remove(b.workers.Hosts("a")[3])
+			b.restart(b.leader())
+		}, maxIdleAfterDeparture},
+		{"a worker is replaced while no instance runs", nil, func(b *breaker) {
+			for _, n := range b.nodes {
+				b.kill(n)
+			}
+			b.workers.Remove(b.workers.Hosts("a")[3])
+			time.Sleep(time.Second)
+			for _, n := range b.nodes {
+				b.start(n)
+			}
+		}, maxIdleAfterDeparture},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var idle idleTimes
+			hooks := &requestHooks{}
+			r := runClusterWith(t, 1, 3, 20, hooks.wrap, func(c *cluster) {
+				b := &breaker{c, hooks}
+				time.Sleep(8 * time.Second)
+				if tt.before != nil {
+					hooks.set(func() { tt.before(b) })
+				}
+				ctx, cancel := context.WithCancel(c.ctx)
+				defer cancel()
+				go idle.watch(ctx, c, "a")
+				is.True(c.submit(c.nodes[0], job("a", ledger.Step{Count: 32, GPU: 2, Estimate: 8000, Gang: true})))
+				time.Sleep(2 * time.Second)
+				if tt.during != nil {
+					tt.during(b)
+				}
+				for range 400 {
+					if c.workers.RunningTasks("a") == 0 && c.phase(c.nodes[0], "a").Final() {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(c.phase(c.nodes[0], "a"), ledger.Finished)
+			})
+			t.Logf("longest time with nothing running: %v", idle.longest)
+			is.True(idle.longest < tt.limit)
+			is.Equal(r.Violations, nil)
+		})
+	}
+}
--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -73,13 +73,17 @@
 	return found
 }
 
-// mayHaveLeft reports whether the worker has runs, does not answer, and has been
-// known for long enough to be in the list of machines. The runs of a worker that
-// still answers go on, whatever the platform lists.
+// mayHaveLeft reports whether the worker has runs, does not answer or cannot be
+// asked, and has been known for long enough to be in the list of machines. The runs
+// of a worker that still answers go on, whatever the platform lists.
 func (w *worker) mayHaveLeft() bool {
-	return w.busy() && w.unresponsive && time.Since(w.knownSince) > machineListDelay
+	return w.busy() && (w.unresponsive || w.unknown()) && time.Since(w.knownSince) > machineListDelay
 }
 
+// unknown reports whether the worker is known from the runs of an earlier leader
+// only. It has had no entry since, so that there is no address to ask.
+func (w *worker) unknown() bool { return !w.listed && w.entry.Addr == "" }
+
 // endDeparted returns records of the ends of the runs on workers that are no
 // longer on any machine.
 func (l *Leader) endDeparted(machines []Machine) []ledger.Record {
