End a run that was stopped while its start request was not sent

What callers would see (found by reading): a gang stands still although none of its members runs. If a gang broke while the only request to start a member waited for a connection to a worker that is gone, or was refused by its fencing token, the run was already being stopped when the request turned out to have had no effect. Then nothing ended it: its stop has no answer either, so it waited for the list of machines or for the worker's lease, up to 8 s.

The answer to the request now ends the run, as stopRun does if nothing was sent: no request is open, none was carried out, and a run that is being stopped is not requested again.

Tests: the rows 'no connection' and 'newer leader' of TestStopDuringUnsentStart fail before; 'no answer' and 'accepted' guard the proof.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -123,8 +123,12 @@
 	case l.ctx.Err() != nil:
 		return true
 	}
-	if settledBy(err) == settlesNothing {
+	switch {
+	case settledBy(err) == settlesNothing:
 		n.unansweredAt = time.Now()
+	case n.stopping && n.neverStarted() && !n.endProposed:
+		l.cancelStart(w, n, "stopped while the request was not sent")
+		return true
 	}
 	if try == 1 {
 		l.Logger.Info("start request not answered; trying again", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Error(err))
@@ -138,7 +142,9 @@
 func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
 	case RefusedStaleToken:
-		return // the log tells of a newer leader, a report of the worker's new incarnation
+		if !n.stopping {
+			return // the log tells of a newer leader, a report of the worker's new incarnation
+		}
 	case RefusedStaleRun:
 		w.wakeSession() // the next report says how the run ended
 	case RefusedUnhealthy, RefusedIncarnation:
@@ -173,15 +179,21 @@
 	n.stopping = true
 	delete(l.unsentStarts, n)
 	if n.neverStarted() {
-		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
-		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
-		go l.Feed.Propose(l.Epoch, r)
+		l.cancelStart(w, n, cause)
 		return
 	}
 	l.Logger.Info("stopping run", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
 	go l.deliverStop(w, n)
 }
 
+// cancelStart ends a run that is being stopped and certainly has not started. The
+// caller holds l.mu.
+func (l *Leader) cancelStart(w *worker, n *run, cause string) {
+	l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
+	r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
+	go l.Feed.Propose(l.Epoch, r)
+}
+
 // deliverStop stops a run: it sends stop requests until the worker has carried
 // one out, and requests reports until one shows what has become of the run.
 func (l *Leader) deliverStop(w *worker, n *run) {
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -289,3 +289,42 @@
 		is.Equal(stops.Load(), int32(0))
 	})
 }
+
+// Guards against a unit that waits for a worker that is gone, because its run was stopped while the only request to start it was under way and certainly not sent.
+func TestStopDuringUnsentStart(t *testing.T) {
+	tests := []struct {
+		name      string
+		err       error // of the start request
+		wantEnded bool
+	}{
+		{"no connection", &NotSentError{io.EOF}, true},
+		{"unhealthy", &RefusedError{RefusedUnhealthy}, true},
+		{"newer leader", &RefusedError{RefusedStaleToken}, true},
+		{"no answer", &NoAnswerError{io.EOF}, false},
+		{"accepted", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						time.Sleep(requestTimeout)
+						return tt.err
+					},
+					Stop: func(context.Context, Target, StopRequest) error { return &NotSentError{io.EOF} },
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) { return Report{}, &NotSentError{io.EOF} },
+				})
+				defer s.cancel()
+				go s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				time.Sleep(requestTimeout / 2)
+				s.stop()
+				is.True(!s.ended())
+				time.Sleep(requestTimeout)
+				is.Equal(s.ended(), tt.wantEnded)
+				time.Sleep(5 * time.Second)
+				is.Equal(s.ended(), tt.wantEnded)
+			})
+		})
+	}
+}
