Notice sooner that a worker with a stopping run is gone

What callers would see (found by reading): a unit stands still for up to 4 s longer than its proof needs. Only the session of a worker finds out that it does not answer, which the list of machines and the end of the leases depend on. The session of an idle worker pauses for 4 s, and a stop request without an answer did not wake it. And each failed request of the deliveries restarted the pause of 250 ms before the next sync of a worker that does not answer, so that several of them put it off for as long as they went on.

A stop request without an answer now wakes the session, and a session whose last sync failed waits out its pause.

Tests: TestUnansweredRequestEndsIdlePause and TestFailedRequestsDoNotPostponeSync fail before.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -232,6 +232,9 @@
 	defer cancel()
 	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
 		l.logStopFailed(w, n, err)
+		if !isRefusal(err) {
+			w.wakeSession() // the worker may be gone
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		n.recordStopFailure(w.unresponsive)
@@ -247,14 +250,19 @@
 // logStopFailed logs a stop request that the worker refused or did not answer.
 func (l *Leader) logStopFailed(w *worker, n *run, err error) {
 	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run), zap.Error(err)}
-	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if isRefusal(err) {
 		l.Logger.Info("worker refused stop; trying again", fields...)
 		return
 	}
 	l.Logger.Debug("stop request not answered; trying again", fields...)
 }
 
+// isRefusal reports whether the worker answered a request with a refusal.
+func isRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
 // requestReport requests a report at once and reports whether the worker answered.
 // It does so beside the session, whose sync may wait for a run to end.
 func (l *Leader) requestReport(w *worker) bool {
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -61,7 +61,7 @@
 func (l *Leader) awaitSync(w *worker, answered bool) bool {
 	l.mu.Lock()
 	l.expireLeases(w)
-	pause := time.Duration(0)
+	pause, wake := time.Duration(0), w.wake
 	switch {
 	case w.entry.Addr == "":
 		pause = time.Second
@@ -69,6 +69,7 @@
 		pause = time.Hour
 	case !answered:
 		pause = syncRetryDelay
+		wake = nil // other requests that fail must not postpone the next sync
 	case w.hasUnstoredEnds():
 		pause = maxStoreWait
 	case w.contacted && !w.busy() && len(w.ends) == 0:
@@ -84,8 +85,8 @@
 	select {
 	case <-l.ctx.Done():
 		return false
-	case <-w.wake:
-		return hasAddr && answered && l.syncDue(w)
+	case <-wake:
+		return hasAddr && l.syncDue(w)
 	case <-t.C:
 		return hasAddr
 	}
--- a/internal/fleet/leader/session_test.go
+++ b/internal/fleet/leader/session_test.go
@@ -1,6 +1,9 @@
 package leader
 
 import (
+	"context"
+	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +52,62 @@
 		})
 	}
 }
+
+// Guards against a worker that is gone for seconds before its session notices, because the session was idle and only stop requests go unanswered.
+func TestUnansweredRequestEndsIdlePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var gone atomic.Bool
+		answer := func() error {
+			if gone.Load() {
+				time.Sleep(requestTimeout)
+				return &NoAnswerError{io.EOF}
+			}
+			return nil
+		}
+		s := newStartTest(t, WorkerClient{
+			Stop: func(context.Context, Target, StopRequest) error { return answer() },
+			Sync: func(context.Context, Target, SyncRequest) (Report, error) { return Report{Incarnation: 1}, answer() },
+		})
+		defer s.cancel()
+		s.leader.mu.Lock()
+		s.leader.removeRun(s.run)
+		s.leader.mu.Unlock()
+		go s.leader.runSession(s.worker)
+		time.Sleep(10 * time.Millisecond) // the session is idle
+		gone.Store(true)
+		s.leader.mu.Lock()
+		s.leader.addRun(s.worker, s.run)
+		s.run.removed, s.run.openStarts = false, 1
+		s.leader.stopRun(s.worker, s.run, "gang broken")
+		s.leader.mu.Unlock()
+		time.Sleep(2*requestTimeout + syncTimeout)
+		s.leader.mu.Lock()
+		noticed := s.worker.unresponsive
+		s.leader.mu.Unlock()
+		is.True(noticed)
+		s.cancel()
+		time.Sleep(time.Second) // until the requests in flight have ended
+	})
+}
+
+// Guards against a session that does not sync with a worker that is back, because requests that fail meanwhile restart its pause.
+func TestFailedRequestsDoNotPostponeSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		syncs := 0
+		s := newStartTest(t, WorkerClient{
+			Sync: func(context.Context, Target, SyncRequest) (Report, error) {
+				syncs++
+				return Report{}, errRefusedConn
+			},
+		})
+		defer s.cancel()
+		go s.leader.runSession(s.worker)
+		for range 100 {
+			time.Sleep(syncRetryDelay / 5)
+			s.worker.wakeSession()
+		}
+		is.True(syncs >= 19)
+	})
+}
