--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -123,8 +123,12 @@
 	case l.ctx.Err() != nil:
 		return true
 	}
-	if settledBy(err) == settlesNothing {
+	switch {
+	case settledBy(err) == settlesNothing:
 		n.unansweredAt = time.Now()
+	case n.stopping && n.neverStarted() && !n.endProposed:
+		l.cancelStart(w, n, "stopped while the request was not sent")
+		return true
 	}
 	if try == 1 {
 		l.Logger.Info("start request not answered; trying again", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Error(err))
@@ -138,7 +142,9 @@
 func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
 	case RefusedStaleToken:
-		return // the log tells of a newer leader, a report of the worker's new incarnation
+		if !n.stopping {
+			return // the log tells of a newer leader, a report of the worker's new incarnation
+		}
 	case RefusedStaleRun:
 		w.wakeSession() // the next report says how the run ended
 	case RefusedUnhealthy, RefusedIncarnation:
@@ -173,15 +179,21 @@
 	n.stopping = true
 	delete(l.unsentStarts, n)
 	if n.neverStarted() {
-		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
-		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
-		go l.Feed.Propose(l.Epoch, r)
+		l.cancelStart(w, n, cause)
 		return
 	}
 	l.Logger.Info("stopping run", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
 	go l.deliverStop(w, n)
 }
 
+// cancelStart ends a run that is being stopped and certainly has not started. The
+// caller holds l.mu.
+func (l *Leader) cancelStart(w *worker, n *run, cause string) {
+	l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
+	r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
+	go l.Feed.Propose(l.Epoch, r)
+}
+
 // deliverStop stops a run: it sends stop requests until the worker has carried
 // one out, and requests reports until one shows what has become of the run.
 func (l *Leader) deliverStop(w *worker, n *run) {
@@ -220,6 +232,9 @@
 	defer cancel()
 	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
 		l.logStopFailed(w, n, err)
+		if !isRefusal(err) {
+			w.wakeSession() // the worker may be gone
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		n.recordStopFailure(w.unresponsive)
@@ -235,14 +250,19 @@
 // logStopFailed logs a stop request that the worker refused or did not answer.
 func (l *Leader) logStopFailed(w *worker, n *run, err error) {
 	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run), zap.Error(err)}
-	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if isRefusal(err) {
 		l.Logger.Info("worker refused stop; trying again", fields...)
 		return
 	}
 	l.Logger.Debug("stop request not answered; trying again", fields...)
 }
 
+// isRefusal reports whether the worker answered a request with a refusal.
+func isRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
 // requestReport requests a report at once and reports whether the worker answered.
 // It does so beside the session, whose sync may wait for a run to end.
 func (l *Leader) requestReport(w *worker) bool {
