Say in the log what keeps a ready unit waiting

Users reported jobs with nothing running although there was room. The log said nothing about a unit that waits, so the record could not tell a wait for a rack from one for reserved resources, for a pause or for workers on which the unit had failed.

The planner now returns each unit that it does not place with the cause, and with the number of its tasks that fit on free resources. The leader adds the causes that it decides itself: a pause before the next run, an orphan run, a start that is not in the log yet and a start that the pacer holds back. The metrics count the lines by cause.

No decision changes.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -148,7 +148,7 @@
 // startLeader starts the leader of an epoch. The feed calls it with its lock
 // held.
 func (n *Instance) startLeader(ctx context.Context, epoch uint64, s *ledger.State) {
-	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, Logger: n.Logger, Machines: n.Machines}
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, Logger: n.Logger, Metrics: n.Metrics, Machines: n.Machines}
 	l.Init(ctx, s, nil)
 	n.leader.Store(l)
 	if n.OnLeading != nil {
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -11,6 +11,7 @@
 	"jasminelane.example/lane/internal/fleet/feed"
 	"jasminelane.example/lane/internal/fleet/ledger"
 	"jasminelane.example/lane/internal/fleet/policy"
+	"jasminelane.example/lane/metric"
 )
 
 // Leader schedules jobs and manages the workers during one epoch. The exported
@@ -27,6 +28,9 @@
 	// second; 0 means unknown.
 	LinkRate int64
 
+	// Metrics, if not nil, counts the log lines about waiting units by cause.
+	Metrics *metric.Set
+
 	// Machines, if not nil, reads the platform's list of machines.
 	Machines func(ctx context.Context) ([]Machine, error)
 
@@ -36,7 +40,9 @@
 	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
 	reservations   map[ledger.UnitID]reservation
-	waitingSince   map[ledger.UnitID]int64 // Unix ms at which a unit was first seen ready to start
+	waits          map[ledger.UnitID]*unitWait // of the last planning round
+	round          int64                       // number of the planning round
+	waitsLoggedAt  int64                       // Unix ms of the last lines about waiting units
 	pacer          *pacer
 	planWake       chan struct{}
 	ctx            context.Context
@@ -86,7 +92,7 @@
 	l.unsentStarts = make(map[*run]int64)
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
 	l.reservations = make(map[ledger.UnitID]reservation)
-	l.waitingSince = make(map[ledger.UnitID]int64)
+	l.waits = make(map[ledger.UnitID]*unitWait)
 	l.planWake = make(chan struct{}, 1)
 	l.pacer = newPacer(l.LinkRate)
 	l.mu.Lock()
@@ -260,7 +266,7 @@
 		l.wakePlanner()
 		return
 	}
-	delete(l.waitingSince, r.Unit)
+	delete(l.waits, r.Unit)
 	js := s.Jobs[r.Unit.Job]
 	u := js.Unit(r.Unit)
 	for i, id := range r.Workers {
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -74,14 +74,17 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		in = l.planInput(s, cfg)
+		defer l.endRound(in.Now)
 		if len(in.Waiting) == 0 {
 			return
 		}
 		out = plan.Decide(in)
+		planned := out.Placements
 		out.Placements = l.pacer.admit(out.Placements, l.startBacklog(s), func(st plan.Placement) int64 {
 			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
 		})
 		l.recordDecisions(out, in)
+		l.notePlan(in, out, planned)
 	})
 	var records []ledger.Record
 	for _, st := range out.Placements {
@@ -160,7 +163,12 @@
 		}
 	}
 	orphaned := l.orphanUnits(s)
-	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool { return orphaned[u.ID] })
+	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool {
+		if orphaned[u.ID] {
+			l.noteWait(u.ID, in.Now, waitOrphan)
+		}
+		return orphaned[u.ID]
+	})
 	free := make(map[string]*plan.Resources, len(l.workers))
 	for id, w := range l.workers {
 		total := w.entry.Total
@@ -227,10 +235,15 @@
 		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
 			runningTasks[key] = l.tasksPerWorker(js, key)
 		}
-		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs || in.Now < u.RunEndedAt+u.RetryDelay() {
+		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
+			continue
+		}
+		if in.Now < u.RunEndedAt+u.RetryDelay() {
+			l.noteWait(u.ID, in.Now, waitPause)
 			continue
 		}
 		if _, ok := l.proposedStarts[u.ID]; ok {
+			l.noteWait(u.ID, in.Now, waitNotApplied)
 			continue
 		}
 		isReady, ok := ready[key]
@@ -241,14 +254,13 @@
 		if !isReady {
 			continue
 		}
-		since, ok := l.waitingSince[u.ID]
-		if !ok {
-			since = in.Now
-			l.waitingSince[u.ID] = since
+		w := l.waiting(u.ID, in.Now)
+		if w.since == 0 {
+			w.since = in.Now
 		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
-			ReadySince: since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
+			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 		})
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -60,6 +60,7 @@
 	running   []*RunningUnit // units that are not being stopped, in no order until byStopCost
 	sorted    bool           // running is in the order of byStopCost
 	releasing Resources      // of units that are being stopped
+	reserved  Resources      // subtracted from Free for reservations
 }
 
 // HasLabel reports whether the worker has the label. Every worker has the empty
@@ -145,4 +146,5 @@
 	Placements   []Placement
 	Preemptions  []*RunningUnit // units to stop for the units of Reservations
 	Reservations []Reservation
+	Waits        []Wait // the units without a placement
 }
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -95,16 +95,20 @@
 	}
 	unplaceable := make(map[stepKey]bool) // steps with a unit that could not be placed; their other units are skipped
 	attempts := 0
-	for _, u := range in.Waiting {
+	for i, u := range in.Waiting {
 		for len(reservations) > 0 && reservations[0].Priority <= u.Priority {
 			r.deduct(reservations[0], 1)
 			reservations = reservations[1:]
 		}
 		key := stepKey{u.ID.Job, u.ID.Occurrence, u.ID.Step}
 		if unplaceable[key] {
+			r.addUntried(u, WaitStep)
 			continue
 		}
 		if attempts++; attempts > maxPlacementAttempts {
+			for _, u := range in.Waiting[i:] {
+				r.addUntried(u, WaitRoundLimit)
+			}
 			break
 		}
 		if !r.place(u) {
@@ -157,6 +161,7 @@
 	for _, id := range h.Workers {
 		if w := r.workers[id]; w != nil {
 			w.Free = w.Free.Sub(h.Need.Mul(sign))
+			w.reserved = w.reserved.Add(h.Need.Mul(sign))
 		}
 	}
 }
@@ -165,23 +170,23 @@
 // step's other units should be tried in this round as well.
 func (r *round) place(u *WaitingUnit) bool {
 	r.relaxAvoidance(u)
-	if h, ok := r.reserved[u.ID]; ok {
+	h, reserved := r.reserved[u.ID]
+	if reserved {
 		r.deduct(h, -1)
 		if r.canStartOn(u, h.Workers) {
 			r.start(u, h.Workers)
 			return true
 		}
-		if workers := r.chooseWorkers(u); workers != nil {
-			r.start(u, workers)
-			return true
-		}
-		r.deduct(h, 1)
-		return true
 	}
 	if workers := r.chooseWorkers(u); workers != nil {
 		r.start(u, workers)
 		return true
 	}
+	r.addWait(u)
+	if reserved {
+		r.deduct(h, 1)
+		return true
+	}
 	wait := r.in.Now - u.ReadySince
 	if (u.Priority == 0 || wait > preemptWaitMs) && r.preempt(u) {
 		return true
@@ -328,9 +333,15 @@
 	if u.CrashSuspect && w.Watched && r.in.Now-u.ReadySince <= crashApartMs {
 		return false
 	}
-	return w.Service == u.Service && w.HasLabel(u.Label) && !slices.Contains(u.AvoidWorkers, w.ID)
+	return suits(u, w) && !avoids(u, w)
 }
 
+// suits reports whether the worker has the service and the label of the unit.
+func suits(u *WaitingUnit, w *Worker) bool { return w.Service == u.Service && w.HasLabel(u.Label) }
+
+// avoids reports whether the unit avoids the worker because it failed there.
+func avoids(u *WaitingUnit, w *Worker) bool { return slices.Contains(u.AvoidWorkers, w.ID) }
+
 // pack returns a worker for each task, or nil if not all tasks fit. It fills
 // the workers with the fewest free resources first (best fit), so that large
 // free blocks stay whole. Suspect workers come last. A unit that may crash its
