--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -164,10 +164,15 @@
 	}
 	orphaned := l.orphanUnits(s)
 	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool {
-		if orphaned[u.ID] {
+		switch {
+		case orphaned[u.ID]:
 			l.noteWait(u.ID, in.Now, waitOrphan)
+		case l.runReturned(u.ID):
+			l.noteWait(u.ID, in.Now, waitReturned)
+		default:
+			return false
 		}
-		return orphaned[u.ID]
+		return true
 	})
 	free := make(map[string]*plan.Resources, len(l.workers))
 	for id, w := range l.workers {
@@ -279,6 +284,11 @@
 		for _, m := range u.Members {
 			out[m.Worker]++
 		}
+		if !u.Active() {
+			for _, n := range l.unitRuns[u.ID] {
+				out[n.worker.id]++
+			}
+		}
 		for _, id := range l.proposedStarts[u.ID].Workers {
 			out[id]++
 		}
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -16,6 +16,7 @@
 const (
 	waitPause      plan.WaitCause = "pause before the next run"
 	waitOrphan     plan.WaitCause = "orphan run of its tasks"
+	waitReturned   plan.WaitCause = "run reported again"
 	waitNotApplied plan.WaitCause = "start not in the log yet"
 	waitPaced      plan.WaitCause = "link busy with starts"
 )
