Ask the worker of a lost run before its unit starts again

A new leader inherits lost runs but had not asked their workers yet. It could start such a unit on the first worker that answered while the lost run was still on another one that is listed and reachable. The unit now waits until that worker has answered a sync or failed to answer one.

A run that was being stopped when it was lost does not go on when it comes back, but is stopped as an orphan. A run that goes on keeps what is known of its start requests: one without an answer may still be carried out by the next incarnation, and the run must not count as lost before that.

--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -25,6 +25,8 @@
 	incarnation int64 // of the worker; 0 is unknown
 	lostAt      time.Time
 	startedAt   time.Time // zero if an earlier leader started it
+	proof       proof     // of the time of the loss
+	stopped     bool      // it was being stopped
 	cause       lossCause
 	resumable   bool // the state lets it continue
 	lasting     bool // its task lasts: the unit goes on whatever its outcome
@@ -103,10 +105,19 @@
 }
 
 // runReturned reports whether the unit has a run on a worker although the state may
-// have none, or a reported end of a lost run that is not stored yet. The caller holds
-// l.mu.
+// have none, a reported end of a lost run that is not stored yet, or a lost run on a
+// worker that is listed and that this leader is asking for the first time. The caller
+// holds l.mu.
 func (l *Leader) runReturned(unit ledger.UnitID) bool {
-	return len(l.unitRuns[unit]) > 0 || slices.ContainsFunc(l.lost[unit], func(r *lostRun) bool { return r.endProposed })
+	return len(l.unitRuns[unit]) > 0 || slices.ContainsFunc(l.lost[unit], func(r *lostRun) bool {
+		return r.endProposed || l.workers[r.worker].beingAsked()
+	})
+}
+
+// beingAsked reports whether the worker may answer but has neither answered nor
+// failed to answer a sync of this leader.
+func (w *worker) beingAsked() bool {
+	return w != nil && w.listed && w.entry.Addr != "" && !w.contacted && !w.unresponsive
 }
 
 // resumeReported takes a lost run back that its worker reports as running, if that
@@ -115,13 +126,13 @@
 // caller holds l.mu.
 func (l *Leader) resumeReported(w *worker, key runKey, incarnation int64) (*run, []ledger.Record) {
 	r := l.findLost(w, key)
-	if r == nil || !r.resumable || r.endProposed || r.incarnation != incarnation || w.orphans[key] != nil || len(l.unitRuns[r.unit]) > 0 {
+	if r == nil || !r.resumable || r.stopped || r.endProposed || r.incarnation != incarnation || w.orphans[key] != nil || len(l.unitRuns[r.unit]) > 0 {
 		return nil, nil
 	}
 	if _, ok := l.proposedStarts[r.unit]; ok {
 		return nil, nil
 	}
-	n := &run{key: key, unit: r.unit, member: r.member, incarnation: incarnation, startedAt: r.startedAt, accepted: true, resuming: true}
+	n := &run{proof: r.proof, key: key, unit: r.unit, member: r.member, incarnation: incarnation, startedAt: r.startedAt, accepted: true, resuming: true}
 	if n.startedAt.IsZero() {
 		n.startedAt = time.Now()
 	}
@@ -292,7 +303,7 @@
 	if r == nil {
 		return
 	}
-	r.cause, r.startedAt = n.lossCause, n.startedAt
+	r.cause, r.startedAt, r.proof, r.stopped = n.lossCause, n.startedAt, n.proof, n.stopping
 	if !n.returned {
 		return
 	}
--- a/internal/fleet/leader/returned_test.go
+++ b/internal/fleet/leader/returned_test.go
@@ -284,6 +284,60 @@
 	is.Equal(s.state.Jobs["a"].Phase, ledger.Finished)
 }
 
+// Guards against a new leader that starts a unit before it has asked the worker of a lost run of it.
+func TestLostRunOfEarlierLeader(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(s *returnTest)
+		want   int // units that the planner may start
+	}{
+		{"not asked yet", func(*returnTest) {}, 0},
+		{"not on the worker", func(s *returnTest) { s.report(Report{}) }, 1},
+		{"running", func(s *returnTest) { s.report(s.running(1)) }, 0},
+		{"no answer", func(s *returnTest) { s.worker.unresponsive = true }, 1},
+		{"not listed", func(s *returnTest) { s.worker.listed = false }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newReturnTest(t, ledger.Step{Count: 1})
+			s.lose()
+			l := testLeader()
+			l.Init(l.ctx, s.state, nil)
+			l.Policy = s.leader.Policy
+			l.mergeEntries([]WorkerEntry{{ID: "w", Addr: "w"}})
+			s.leader, s.worker = l, l.workers["w"]
+			tt.answer(s)
+			is.Equal(s.waiting(), tt.want)
+		})
+	}
+}
+
+// Guards against a run that was being stopped when it was lost and then goes on.
+func TestStoppedLostRunIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	s := newReturnTest(t, ledger.Step{Count: 1})
+	s.leader.mu.Lock()
+	s.leader.stopUnit(returnUnit, "preempted")
+	s.leader.mu.Unlock()
+	s.lose()
+	s.report(s.running(1))
+	is.Equal(len(s.worker.orphans), 1)
+}
+
+// Guards against forgetting that a start request of a run without an answer may still be carried out, because the run was lost in between.
+func TestResumedRunKeepsItsProof(t *testing.T) {
+	is := is.New(t)
+	s := newReturnTest(t, ledger.Step{Count: 1})
+	sent := time.Now()
+	n := s.run(s.worker, 1)
+	n.openStarts, n.startSentAt = 1, sent
+	s.lose()
+	s.report(s.running(1))
+	s.resume()
+	is.Equal(s.leader.lateRunEnd(s.run(s.worker, 1)), sent.Add(maxRequestDelay+maxLeaseTime(s.leader.Bounds.Lease)))
+}
+
 // Guards against a worker whose ends are never acknowledged, because the job of a lost run was cancelled before its end was stored.
 func TestEndOfLostRunOfCancelledJob(t *testing.T) {
 	is := is.New(t)
