Draw workers that are cut off without an entry in the histories

No generated history had a worker that was cut off and missing from the list of workers, with or without an old leader that still reached it and had lost the log. That is the reported cut of a failure domain. A third of the histories now has such a worker for up to 15 s.

--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -50,6 +50,7 @@
 	h.scheduleFaults()
 	h.drawDeadlyJob(rand.New(rand.NewPCG(seed, 5)))
 	h.drawRefusals(rand.New(rand.NewPCG(seed, 6)))
+	h.drawUnlisted(rand.New(rand.NewPCG(seed, 8)))
 	h.load()
 	h.heal()
 	return h.checkEnd()
@@ -237,6 +238,46 @@
 	}
 }
 
+// drawUnlisted lets a worker be cut off and without an entry, for up to 15 s so that its
+// leases can end meanwhile, in a third of the histories. In half of these the leader
+// loses the log, but not this worker, at the same time.
+func (h *history) drawUnlisted(rnd *rand.Rand) {
+	if rnd.IntN(3) > 0 {
+		return
+	}
+	h.c.workers.WithLock(func() { h.c.rules.NoDisruption = false })
+	id := fmt.Sprintf("w%d", rnd.IntN(8))
+	at := time.Duration(rnd.Int64N(int64(faultWindow)))
+	span := time.Second + time.Duration(rnd.Int64N(int64(14*time.Second)))
+	withLeader := rnd.IntN(2) == 0
+	h.after(at, func() {
+		except := ""
+		if n := h.c.leader(); withLeader && n != nil {
+			except = n.name
+		}
+		h.cutUnlisted(id, except, true)
+		h.after(span, func() { h.cutUnlisted(id, except, false) })
+	})
+}
+
+// cutUnlisted cuts a worker off and takes its entry out of the list, or ends both. The
+// excepted instance, if there is one, loses the log instead.
+func (h *history) cutUnlisted(id, except string, on bool) {
+	if except != "" {
+		h.c.log.SetFaults(func(l *fleettest.LogFaults) { l.RefusedInstances[except] = on })
+	}
+	h.c.workers.WithLock(func() {
+		w := h.c.workers.List[id]
+		if w == nil {
+			return
+		}
+		w.Unlisted = on
+		for _, n := range h.c.nodes {
+			w.UnreachableFrom[n.name] = on && n.name != except
+		}
+	})
+}
+
 // replace announces that a worker leaves and removes it after the notice. A
 // replacement is added 4 s after that.
 func (h *history) replace(id string, notice time.Duration) {
@@ -287,7 +328,7 @@
 			}
 		}()
 	}
-	time.Sleep(faultWindow + 11*time.Second) // until the last fault has ended
+	time.Sleep(faultWindow + 16*time.Second) // until the last fault has ended
 }
 
 // cancel requests the cancellation of a job until the request is accepted or the
