Count a task as done for the standstill check once its end was reported

A job was reported as standing still when a worker had reported its task as done and crashed before the acknowledgement: the system has stored the end and rightly starts no other run. The violation also names the workers with room.

--- a/internal/fleet/fleettest/checker.go
+++ b/internal/fleet/fleettest/checker.go
@@ -33,6 +33,7 @@
 	StartCounts     map[leader.TaskID]int // start requests that workers carried out
 
 	done         map[leader.TaskID]bool
+	doneListed   map[leader.TaskID]bool // a worker reported that the task ended as done
 	doneAcked    map[leader.TaskID]bool // the system acknowledged that the task ended as done
 	stepFinished map[stepKey]bool       // a task of the step ended as done, which is enough for a gang
 	failures     map[leader.TaskID]int  // acknowledged failures
@@ -74,6 +75,7 @@
 		Refused:      make(map[string]bool),
 		StartCounts:  make(map[leader.TaskID]int),
 		done:         make(map[leader.TaskID]bool),
+		doneListed:   make(map[leader.TaskID]bool),
 		doneAcked:    make(map[leader.TaskID]bool),
 		stepFinished: make(map[stepKey]bool),
 		failures:     make(map[leader.TaskID]int),
@@ -259,6 +261,15 @@
 	}
 }
 
+// recordListed records the ends that a worker reports.
+func (r *Checker) recordListed(ends []leader.EndedTask) {
+	for _, e := range ends {
+		if e.Outcome == ledger.Done {
+			r.doneListed[e.Task] = true
+		}
+	}
+}
+
 // recordAck records an end that the system acknowledged as stored.
 func (r *Checker) recordAck(e leader.EndedTask) {
 	switch e.Outcome {
--- a/internal/fleet/fleettest/checker_test.go
+++ b/internal/fleet/fleettest/checker_test.go
@@ -113,6 +113,19 @@
 			b.sync("w0", 1)
 			time.Sleep(1500 * time.Millisecond)
 		}, false},
+		{"done, and the worker crashed after it reported that", task, func(b *bench) {
+			b.start("w0", 0, 1)
+			time.Sleep(2 * time.Second)
+			b.sync("w0", 0)
+			b.workers.Crash("w0")
+			time.Sleep(10 * time.Second)
+		}, false},
+		{"done, and the worker crashed before it reported that", task, func(b *bench) {
+			b.start("w0", 0, 1)
+			time.Sleep(2 * time.Second)
+			b.workers.Crash("w0")
+			time.Sleep(7200 * time.Millisecond)
+		}, true},
 		{"another task of the job runs", ledger.Step{Count: 2, GPU: 4, Estimate: 9000}, func(b *bench) {
 			b.start("w0", 0, 1)
 			time.Sleep(5 * time.Second)
--- a/internal/fleet/fleettest/still.go
+++ b/internal/fleet/fleettest/still.go
@@ -78,12 +78,16 @@
 	running, done := ws.tasksOf(j.ID)
 	for k := range j.Occurrences() {
 		for i, s := range j.Steps {
-			if !s.LongRunning && len(running) > 0 || now.UnixMilli() < j.Due(k) || !r.stepReady(j, k, i) || !ws.hasRoom(stepKey{j.ID, k, i}, s) {
+			if !s.LongRunning && len(running) > 0 || now.UnixMilli() < j.Due(k) || !r.stepReady(j, k, i) {
+				continue
+			}
+			room := ws.roomFor(stepKey{j.ID, k, i}, s)
+			if !hasRoom(room, s) {
 				continue
 			}
 			for _, unit := range unitsOf(j, k, i) {
 				if !anyOf(unit, running) && !anyOf(unit, done) && !r.unitOver(s, unit) {
-					r.recordStill(unit[0], s, now, found)
+					r.recordStill(unit[0], s, room, now, found)
 				}
 			}
 		}
@@ -110,7 +114,7 @@
 }
 
 // recordStill records that a task could run and does not.
-func (r *Checker) recordStill(task leader.TaskID, s ledger.Step, now time.Time, found map[waiting]bool) {
+func (r *Checker) recordStill(task leader.TaskID, s ledger.Step, room map[string]int, now time.Time, found map[waiting]bool) {
 	what, last := waiting{job: task.Job}, r.lastActive[waiting{job: task.Job}]
 	if s.LongRunning {
 		what.task = task
@@ -128,7 +132,8 @@
 		return
 	}
 	if !state.reported {
-		r.addViolation("STILL", task, " could run since ", since.Format("15:04:05.000"), " and does not; ", r.StartCounts[task], " runs so far")
+		r.addViolation("STILL", task, " could run since ", since.Format("15:04:05.000"), " and does not; ", r.StartCounts[task], " runs so far, ",
+			s.Count, " tasks of ", s.Estimate, " ms, gang ", s.Gang, ", same rack ", s.SameRack, ", rack ", s.Rack, ", room ", room)
 	}
 	state.reported = true
 }
@@ -173,9 +178,10 @@
 	return acked == j.Steps[n].Count || j.Steps[n].Gang && acked > 0
 }
 
-// unitOver reports whether no run of the unit is needed any more.
+// unitOver reports whether no run of the unit is needed any more. The system may
+// have stored an end that it had no time to acknowledge.
 func (r *Checker) unitOver(s ledger.Step, unit []leader.TaskID) bool {
-	return !s.LongRunning && anyOf(unit, r.doneAcked)
+	return !s.LongRunning && (anyOf(unit, r.doneListed) || anyOf(unit, r.doneAcked))
 }
 
 // mayBeGivenUp reports whether a task of the job has failed too often or crashed
@@ -224,21 +230,31 @@
 	return running, done
 }
 
-// hasRoom reports whether the whole unit of a task of the step fits spareRoom times
-// into the free resources of the workers.
-func (ws *Workers) hasRoom(key stepKey, s ledger.Step) bool {
-	width := 1
-	if s.Gang {
-		width = s.Count
-	}
-	room := 0
-	for _, w := range ws.List {
+// roomFor returns how many more tasks of the step fit on each worker on which any
+// does.
+func (ws *Workers) roomFor(key stepKey, s ledger.Step) map[string]int {
+	room := make(map[string]int)
+	for id, w := range ws.List {
 		if w.Down || w.Unlisted || w.Draining || w.StopErr != nil || s.Label != "" && s.Label != anyLabel && s.Label != w.Rack {
 			continue
 		}
-		room += ws.roomOn(w, key, s)
+		if n := ws.roomOn(w, key, s); n > 0 {
+			room[id] = n
+		}
+	}
+	return room
+}
+
+// hasRoom reports whether a unit of the step fits spareRoom times into the room.
+func hasRoom(room map[string]int, s ledger.Step) bool {
+	width, total := 1, 0
+	if s.Gang {
+		width = s.Count
+	}
+	for _, n := range room {
+		total += n
 	}
-	return room >= spareRoom*width
+	return total >= spareRoom*width
 }
 
 // roomOn returns how many more tasks of the step fit on the worker.
