Check the histories for jobs that stand still

The histories checked that jobs end within 90 s after the last fault, and not that a task that could run starts.

--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -46,6 +46,12 @@
 // kept at its end.
 func playHistory(c *cluster, seed uint64) []string {
 	h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 4)), accepted: make(map[string]bool)}
+	return h.play(seed)
+}
+
+// play plays the history of a seed and returns the promises that are not kept at its
+// end.
+func (h *history) play(seed uint64) []string {
 	time.Sleep(time.Duration(h.rnd.IntN(2000)) * time.Millisecond)
 	h.scheduleFaults()
 	h.drawDeadlyJob(rand.New(rand.NewPCG(seed, 5)))
@@ -55,6 +61,24 @@
 	return h.checkEnd()
 }
 
+// Guards against jobs of which nothing runs although a task of them could.
+func TestHistoriesOfStandstill(t *testing.T) {
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var violations []string
+			r := runCluster(t, seed, 3, 8, func(c *cluster) {
+				h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 4)), accepted: make(map[string]bool), checkStill: true}
+				violations = h.play(seed)
+			})
+			for _, v := range append(r.Violations, violations...) {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 // Guards against requests that are carried out by the next incarnation of a worker.
 func TestHistoriesOfLateRequests(t *testing.T) { checkLateRequests(t, fleettest.ReachAny) }
 
@@ -87,6 +111,8 @@
 	accepted  map[string]bool
 	ids       []string
 	submitted chan struct{} // receives a value for each job whose submission has ended
+
+	checkStill bool // also check that no job stands still
 }
 
 // faultWindow is the period in which faults begin.
@@ -117,6 +143,7 @@
 	h.c.workers.WithLock(func() { h.c.rules.NoDisruption = count == 0 })
 	for range count {
 		at, span := h.randomTime(), h.randomSpan()
+		h.recordDisruption(at, span)
 		n := h.c.nodes[h.rnd.IntN(len(h.c.nodes))]
 		worker := fmt.Sprintf("w%d", h.rnd.IntN(8))
 		fraction := 0.05 + 0.4*h.rnd.Float64()
@@ -228,6 +255,7 @@
 		at := time.Duration(rnd.Int64N(int64(faultWindow)))
 		span := time.Second + time.Duration(rnd.Int64N(int64(8*time.Second)))
 		refused, delayed := 0.05+0.4*rnd.Float64(), 0.2*rnd.Float64()
+		h.recordDisruption(at, span)
 		h.during(at, span, func(on bool) {
 			h.c.workers.WithLock(func() {
 				h.c.workers.RefusedRate, h.c.workers.DelayedRate = refused*oneIf(on), delayed*oneIf(on)
@@ -256,6 +284,18 @@
 	h.after(at+span, func() { f(false) })
 }
 
+// recordDisruption records for the rules that a fault is active from a time on for
+// the span.
+func (h *history) recordDisruption(at, span time.Duration) {
+	h.during(at, span, func(on bool) {
+		if on {
+			h.c.workers.WithLock(h.c.rules.BeginDisruption)
+			return
+		}
+		h.c.workers.WithLock(h.c.rules.EndDisruption)
+	})
+}
+
 // oneIf returns 1 if on is true, and 0 otherwise.
 func oneIf(on bool) float64 {
 	if on {
@@ -279,7 +319,12 @@
 			defer func() { h.submitted <- struct{}{} }()
 			time.Sleep(at)
 			ok := h.c.submit(from, j)
-			h.c.workers.WithLock(func() { h.accepted[j.ID] = ok })
+			h.c.workers.WithLock(func() {
+				h.accepted[j.ID] = ok
+				if ok && h.checkStill {
+					h.c.rules.Accepted[j.ID] = time.Now()
+				}
+			})
 			if ok && cancel {
 				time.Sleep(cancelAt)
 				h.cancel(j.ID)
@@ -292,6 +337,7 @@
 // cancel requests the cancellation of a job until the request is accepted or the
 // job has ended, at most 20 times.
 func (h *history) cancel(id string) {
+	h.c.workers.WithLock(func() { h.c.rules.CancelSent[id] = true })
 	for range 20 {
 		n := h.c.nodes[len(id)%len(h.c.nodes)]
 		switch h.c.cancel(n, id) {
