Cut failure domains off in the simulated histories

No history cut a failure domain off, so none had an old leader that goes on beside a part of the workers while their entries expire. TestHistoriesOfDomainCuts cuts an instance and a third of the workers off from the log and from all others for 3 to 12 s, up to three times a history, beside the usual faults; the entries expire after 4.5 s.

--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -33,6 +33,7 @@
 	RefuseAll         bool            // refuses the requests of all instances
 	AnswerNone        bool            // answers no request
 	RefusedInstances  map[string]bool // refuses the requests of these instances
+	CutInstances      map[string]bool // neither gets the requests of these instances nor answers them
 	LostResponseRate  float64         // share of appends that are stored but not answered
 	DelayedAppendRate float64         // share of appends that are stored 1 s to 6 s later and not answered
 	ResponseDelay     time.Duration   // delay of each answer
@@ -47,7 +48,7 @@
 func NewLog(rnd *rand.Rand) *Log {
 	return &Log{
 		rnd: rnd, offsetBySeq: make(map[uint64]uint64), changed: make(chan struct{}),
-		faults: LogFaults{RefusedInstances: make(map[string]bool), ResponseDelay: defaultResponseDelay},
+		faults: LogFaults{RefusedInstances: make(map[string]bool), CutInstances: make(map[string]bool), ResponseDelay: defaultResponseDelay},
 	}
 }
 
@@ -55,7 +56,7 @@
 // log from serving the instance.
 func (l *Log) Admit(ctx context.Context, instance string) error {
 	l.mu.Lock()
-	delay, refused, unanswered := l.faults.ResponseDelay, l.faults.RefuseAll || l.faults.RefusedInstances[instance], l.faults.AnswerNone
+	delay, refused, unanswered := l.faults.ResponseDelay, l.faults.RefuseAll || l.faults.RefusedInstances[instance], l.faults.AnswerNone || l.faults.CutInstances[instance]
 	l.mu.Unlock()
 	if refused {
 		return errRefused
@@ -147,8 +148,12 @@
 	for {
 		l.mu.Lock()
 		end, changed, refused := uint64(len(l.records)), l.changed, l.faults.RefuseAll || l.faults.RefusedInstances[instance]
-		records, first := l.records[min(from, end):], l.faults.FirstOffset
+		records, first, cut := l.records[min(from, end):], l.faults.FirstOffset, l.faults.CutInstances[instance]
 		l.mu.Unlock()
+		if cut {
+			<-ctx.Done()
+			return feed.Page{}, &feed.ReadError{Err: ctx.Err()}
+		}
 		if from < first {
 			return feed.Page{}, &feed.ExpiredError{First: first}
 		}
@@ -222,6 +227,7 @@
 	l.SetFaults(func(f *LogFaults) {
 		f.RefuseAll, f.AnswerNone, f.LostResponseRate, f.DelayedAppendRate, f.ResponseDelay = false, false, 0, 0, defaultResponseDelay
 		clear(f.RefusedInstances)
+		clear(f.CutInstances)
 	})
 }
 
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -300,6 +300,45 @@
 	})
 }
 
+// inDomain returns the workers of the failure domain of the instance with the index.
+// The caller holds the lock of the workers.
+func (c *cluster) inDomain(domain int) map[string]bool {
+	in := make(map[string]bool)
+	for id := range c.workers.List {
+		var i int
+		_, err := fmt.Sscanf(id, "w%d", &i) // a replaced worker has a longer name
+		in[id] = err == nil && i%len(c.nodes) == domain
+	}
+	return in
+}
+
+// cutDomain cuts an instance and the workers of its failure domain off from the log
+// and from all others, or ends that. They reach each other.
+func (c *cluster) cutDomain(domain int, on bool) {
+	c.log.SetFaults(func(l *fleettest.LogFaults) { l.CutInstances[c.nodes[domain].name] = on })
+	c.workers.WithLock(func() {
+		for id, inside := range c.inDomain(domain) {
+			for i, n := range c.nodes {
+				if inside != (i == domain) {
+					c.workers.List[id].UnreachableFrom[n.name] = on
+				}
+			}
+		}
+	})
+}
+
+// setUnlisted removes the workers of a failure domain from the list of workers, or
+// adds them again.
+func (c *cluster) setUnlisted(domain int, unlisted bool) {
+	c.workers.WithLock(func() {
+		for id, inside := range c.inDomain(domain) {
+			if inside {
+				c.workers.List[id].Unlisted = unlisted
+			}
+		}
+	})
+}
+
 // leader returns the instance that leads, or nil.
 func (c *cluster) leader() *node {
 	for _, n := range c.nodes {
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,9 @@
 	h.scheduleFaults()
 	h.drawDeadlyJob(rand.New(rand.NewPCG(seed, 5)))
 	h.drawRefusals(rand.New(rand.NewPCG(seed, 6)))
+	if h.cutDomains {
+		h.drawDomainCuts(rand.New(rand.NewPCG(seed, 7)))
+	}
 	h.load()
 	h.heal()
 	return h.checkEnd()
@@ -79,6 +83,24 @@
 	}
 }
 
+// Guards against second runs beside runs that go on in a failure domain that is cut off together with the leader.
+func TestHistoriesOfDomainCuts(t *testing.T) {
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var violations []string
+			r := runCluster(t, seed, 3, 8, func(c *cluster) {
+				h := &history{c: c, rnd: rand.New(rand.NewPCG(seed, 4)), accepted: make(map[string]bool), cutDomains: true}
+				violations = h.play(seed)
+			})
+			for _, v := range append(r.Violations, violations...) {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 // Guards against requests that are carried out by the next incarnation of a worker.
 func TestHistoriesOfLateRequests(t *testing.T) { checkLateRequests(t, fleettest.ReachAny) }
 
@@ -113,6 +135,7 @@
 	submitted chan struct{} // receives a value for each job whose submission has ended
 
 	checkStill bool // also check that no job stands still
+	cutDomains bool // also cut off failure domains
 }
 
 // faultWindow is the period in which faults begin.
@@ -264,6 +287,32 @@
 	}
 }
 
+// entryExpiry is the time after which the entry of a worker that is cut off from the
+// log expires.
+const entryExpiry = 3 * 1500 * time.Millisecond
+
+// drawDomainCuts cuts off a failure domain, that of an instance and of each third
+// worker, up to three times.
+func (h *history) drawDomainCuts(rnd *rand.Rand) {
+	h.c.workers.WithLock(func() { h.c.rules.NoDisruption = false })
+	for range 1 + rnd.IntN(3) {
+		at := time.Duration(rnd.Int64N(int64(faultWindow)))
+		span := 3*time.Second + time.Duration(rnd.Int64N(int64(9*time.Second)))
+		domain, ofLeader := rnd.IntN(len(h.c.nodes)), rnd.IntN(2) == 0
+		h.after(at, func() {
+			if l := h.c.leader(); l != nil && ofLeader {
+				domain = slices.Index(h.c.nodes, l)
+			}
+			h.c.cutDomain(domain, true)
+			h.after(min(span, entryExpiry), func() { h.c.setUnlisted(domain, span > entryExpiry) })
+			h.after(span, func() {
+				h.c.cutDomain(domain, false)
+				h.c.setUnlisted(domain, false)
+			})
+		})
+	}
+}
+
 // replace announces that a worker leaves and removes it after the notice. A
 // replacement is added 4 s after that.
 func (h *history) replace(id string, notice time.Duration) {
