Ask at once what became of a run that its worker refuses as ended

A member of a gang whose start was refused because the run had ended or been stopped there waited for two long polls of the session, up to 3.2 s: the one in flight was requested too early to prove anything, and the next one waits for an end that does not come if the worker never had the run. Found by reading.

The leader now requests a report at once. TestRefusedEndedRun fails before.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -146,7 +146,7 @@
 			return // the log tells of a newer leader, a report of the worker's new incarnation
 		}
 	case RefusedStaleRun:
-		w.wakeSession() // the next report says how the run ended
+		go l.requestReport(w) // it says how the run ended, or that the worker never had it
 	case RefusedUnhealthy, RefusedIncarnation:
 		w.unhealthyAt = time.Now()
 	}
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -328,3 +328,29 @@
 		})
 	}
 }
+
+// Guards against a gang that waits for two long polls of a worker that will never run a member, because it refused the run as ended and has no end to report.
+func TestRefusedEndedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStartTest(t, WorkerClient{
+			Start: func(context.Context, Target, StartRequest) error { return &RefusedError{RefusedStaleRun} },
+			Sync: func(_ context.Context, _ Target, req SyncRequest) (Report, error) {
+				time.Sleep(req.MaxWait)
+				return Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "b"}, Run: 1}}}, nil
+			},
+		})
+		other := &run{key: runKey{TaskID{Job: "b"}, 1}, unit: ledger.UnitID{Job: "b"}}
+		s.leader.mu.Lock()
+		s.leader.addRun(s.worker, other)
+		s.worker.leasesEnd = time.Now().Add(maxLeaseTime(s.leader.Bounds.Lease))
+		s.leader.mu.Unlock()
+		go s.leader.runSession(s.worker)
+		time.Sleep(minSyncWait / 2) // the session is in a long poll
+		s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		time.Sleep(minSyncWait / 4)
+		is.True(s.ended())
+		s.cancel()
+		time.Sleep(maxSyncWait) // until the sync in flight has ended
+	})
+}
