Ask for reports until a stopped orphan run has ended

An orphan run keeps its unit from starting and its worker from use. If it was found by a report that was requested beside the session, the session's long poll did not prove its end, since it was requested earlier, and the next one waits for an end that does not come: up to 1.6 s for nothing, twice that if the report that showed the run had been overtaken by one of its end.

A stopped orphan run now has reports requested, with the pauses of stop requests, until one lacks it. TestOrphanFoundBesideSession fails before.

--- a/internal/fleet/leader/orphan_test.go
+++ b/internal/fleet/leader/orphan_test.go
@@ -131,3 +131,54 @@
 		is.True(!w.usable(time.Now()))
 	}
 }
+
+// Guards against a worker and a unit that wait for two long polls for the end of an orphan run that was found beside the session.
+func TestOrphanFoundBesideSession(t *testing.T) {
+	const stopGrace = 200 * time.Millisecond
+	tests := []struct {
+		name     string
+		spurious bool // the report that showed it arrived late, and it had ended before
+	}{{"runs", false}, {"has ended", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var ended atomic.Bool
+				orphan := Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "b"}, Run: 1}}}
+				s := newStartTest(t, WorkerClient{
+					Stop: func(context.Context, Target, StopRequest) error {
+						time.Sleep(time.Millisecond) // on the network
+						time.AfterFunc(stopGrace, func() { ended.Store(true) })
+						return nil
+					},
+					Sync: func(_ context.Context, _ Target, req SyncRequest) (Report, error) {
+						before := ended.Load()
+						for waited := time.Duration(0); waited < req.MaxWait && ended.Load() == before; waited += time.Millisecond {
+							time.Sleep(time.Millisecond) // until the run ends
+						}
+						if ended.Load() {
+							return Report{Incarnation: 1}, nil
+						}
+						return orphan, nil
+					},
+				})
+				s.leader.mu.Lock()
+				s.worker.leasesEnd = time.Now().Add(maxLeaseTime(s.leader.Bounds.Lease))
+				s.leader.mu.Unlock()
+				ended.Store(tt.spurious)
+				go s.leader.runSession(s.worker)
+				time.Sleep(minSyncWait / 8) // the session is in a long poll
+				s.leader.applyReport(s.worker, orphan, s.leader.exchange(s.worker, time.Now()))
+				s.leader.mu.Lock()
+				is.Equal(len(s.worker.orphans), 1)
+				s.leader.mu.Unlock()
+				time.Sleep(stopGrace + 2*minStopPause)
+				s.leader.mu.Lock()
+				is.Equal(len(s.worker.orphans), 0)
+				s.leader.mu.Unlock()
+				s.cancel()
+				time.Sleep(maxSyncWait) // until the sync in flight has ended
+			})
+		})
+	}
+}
--- a/internal/fleet/leader/proof.go
+++ b/internal/fleet/leader/proof.go
@@ -110,7 +110,7 @@
 const (
 	stopDone    stopStep = iota // the run has ended
 	stopRequest                 // the worker has to be asked to stop the run
-	stopReport                  // a report has to show what has become of the run
+	stopReport                  // a report has to show what has become of the run; that of an orphan run has no end to store
 	stopWait                    // the worker will report the end, or has no address
 )
 
@@ -124,7 +124,7 @@
 		return stopWait
 	case n.stoppedAt.IsZero() || n.stoppedOn != w.incarnation:
 		return stopRequest
-	case n.settledByStop() && !w.reportSentAt.After(n.settledAt):
+	case n.orphan() || n.settledByStop() && !w.reportSentAt.After(n.settledAt):
 		return stopReport
 	}
 	return stopWait
