Let a new leader consult the list of machines at once for known workers

What callers saw: a job of which a task was on a worker that left together with the leader stood still for 7 s. A worker may have left only if it has been known for 5 s, by when the list of machines includes it, and a new leader knew no worker before it began.

Each instance now notes when it first applied a record that starts a run on an incarnation of a worker. The leader of then had listed it, so what is noted for 5 s is in the list of machines, whichever instance leads and whatever the clocks say. An incarnation that was not noted, or another one that has reported or is listed since, waits as before, and so does a worker of which the leader has never seen an entry: 3 s instead of 5 s, since the entry of a worker that is up is back two seconds after the store is. What proves a departure is unchanged: no answer or no entry, and two lists in a row.

Tests: TestBrokenGangStartsAgain kills the leader's instance now instead of restarting it at once.

--- a/internal/fleet/instance/brokengang_test.go
+++ b/internal/fleet/instance/brokengang_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"jasminelane.example/lane/internal/fleet/leader"
 	"jasminelane.example/lane/internal/fleet/ledger"
@@ -22,9 +23,12 @@
 	// answer: until its lease has ended.
 	maxIdleAfterCrash = 7 * time.Second
 
-	// maxIdleAfterDeparture is how long a new leader may take to find out that a
-	// worker has left that it has never seen.
-	maxIdleAfterDeparture = 7 * time.Second
+	// maxIdleAfterDeparture is how long it may take to elect a leader which finds out
+	// that a worker has left that it has never reached.
+	maxIdleAfterDeparture = 6 * time.Second
+
+	// maxIdleAfterRestart is the same if no instance remembers the worker.
+	maxIdleAfterRestart = 7 * time.Second
 )
 
 // requestHooks replace or delay the requests of all instances to the workers. A
@@ -34,6 +38,8 @@
 	start func(req leader.StartRequest, send func() error) error
 	stop  func(t leader.Target, req leader.StopRequest, send func() error) error
 	sync  func(ctx context.Context, t leader.Target, send func() (leader.Report, error)) (leader.Report, error)
+
+	entries []leader.WorkerEntry // the list of workers; nil for the present one
 }
 
 // set changes the hooks.
@@ -45,7 +51,17 @@
 
 // wrap applies the hooks to the requests of an instance.
 func (h *requestHooks) wrap(n *Instance) {
-	client := n.WorkerClient
+	client, watch := n.WorkerClient, n.WatchWorkers
+	n.WatchWorkers = func(ctx context.Context, log *zap.Logger, update func([]leader.WorkerEntry)) {
+		watch(ctx, log, func(entries []leader.WorkerEntry) {
+			h.mu.Lock()
+			if h.entries != nil {
+				entries = h.entries
+			}
+			h.mu.Unlock()
+			update(entries)
+		})
+	}
 	n.WorkerClient = leader.WorkerClient{
 		Start: func(ctx context.Context, t leader.Target, req leader.StartRequest) error {
 			h.mu.Lock()
@@ -80,6 +96,13 @@
 	}
 }
 
+// replaceLeader kills the leader and starts its instance again when another one leads.
+func (c *cluster) replaceLeader() {
+	n := c.leader()
+	c.kill(n)
+	time.AfterFunc(5*time.Second, func() { c.start(n) })
+}
+
 // idleTimes measures how long a job has nothing running between two of its runs.
 type idleTimes struct {
 	longest time.Duration
@@ -236,9 +259,17 @@
 			b.restart(b.leader())
 		}, maxIdle},
 		{"the leader ends and a worker is replaced", nil, func(b *breaker) {
+			time.Sleep(4 * time.Second) // until the worker is certainly in the list of machines
 			b.workers.Remove(b.workers.Hosts("a")[3])
-			b.restart(b.leader())
+			b.replaceLeader()
 		}, maxIdleAfterDeparture},
+		{"the leader ends and a worker is replaced whose entry stays", nil, func(b *breaker) {
+			time.Sleep(4 * time.Second) // until the worker is certainly in the list of machines
+			id := b.workers.Hosts("a")[3]
+			b.hooks.set(func() { b.hooks.entries = b.workers.Entries() })
+			b.workers.Remove(id)
+			b.replaceLeader()
+		}, maxIdle},
 		{"a worker is replaced while no instance runs", nil, func(b *breaker) {
 			for _, n := range b.nodes {
 				b.kill(n)
@@ -248,7 +279,7 @@
 			for _, n := range b.nodes {
 				b.start(n)
 			}
-		}, maxIdleAfterDeparture},
+		}, maxIdleAfterRestart},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -103,8 +104,9 @@
 	Policy *policy.Current
 	Intake *intake.Intake
 
-	leader   atomic.Pointer[leader.Leader]
-	draining atomic.Bool
+	leader    atomic.Pointer[leader.Leader]
+	sightings leader.Sightings // guarded by the lock of Feed
+	draining  atomic.Bool
 }
 
 const (
@@ -133,6 +135,7 @@
 func (n *Instance) Init() {
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n.Policy = &policy.Current{}
+	n.sightings = make(leader.Sightings)
 	n.Feed = &feed.Feed{
 		Instance: n.Settings.Node, Incarnation: incarnation, Append: n.Append, Read: n.Read, Logger: n.Logger,
 		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot, Retention: n.Settings.Bounds.Retention,
@@ -148,7 +151,7 @@
 // startLeader starts the leader of an epoch. The feed calls it with its lock
 // held.
 func (n *Instance) startLeader(ctx context.Context, epoch uint64, s *ledger.State) {
-	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, Logger: n.Logger, Machines: n.Machines}
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, Logger: n.Logger, Machines: n.Machines, Sightings: maps.Clone(n.sightings)}
 	l.Init(ctx, s, nil)
 	n.leader.Store(l)
 	if n.OnLeading != nil {
@@ -169,6 +172,9 @@
 // recordApplied tells the leader that a record was applied to the replicated
 // state, and whether it was effective. The feed calls it with its lock held.
 func (n *Instance) recordApplied(s *ledger.State, r ledger.Record, effective bool) {
+	if r.Start != nil {
+		n.sightings.Add(r.Start, time.Now())
+	}
 	if l := n.leader.Load(); l != nil {
 		l.RecordApplied(s, r, effective)
 	}
--- a/internal/fleet/leader/depart.go
+++ b/internal/fleet/leader/depart.go
@@ -24,6 +24,11 @@
 	// machineListDelay is how long the list of machines may take to include a
 	// new worker.
 	machineListDelay = 5 * time.Second
+
+	// entryReturnTime is how long after the begin of an epoch a worker that is up
+	// may have no entry. Entries that expired while the store was unavailable are
+	// written again within two seconds of its return.
+	entryReturnTime = 3 * time.Second
 )
 
 // departureLoop ends the runs of workers that have left the platform. Without
@@ -77,7 +82,13 @@
 // asked, and has been known for long enough to be in the list of machines. The runs
 // of a worker that still answers go on, whatever the platform lists.
 func (w *worker) mayHaveLeft() bool {
-	return w.busy() && (w.unresponsive || w.unknown()) && time.Since(w.knownSince) > machineListDelay
+	switch {
+	case !w.busy() || time.Since(w.listedSince()) <= machineListDelay:
+		return false
+	case w.unresponsive:
+		return true
+	}
+	return w.unknown() && time.Since(w.knownSince) > entryReturnTime
 }
 
 // unknown reports whether the worker is known from the runs of an earlier leader
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -27,6 +27,9 @@
 	// second; 0 means unknown.
 	LinkRate int64
 
+	// Sightings tells which workers were known before the epoch.
+	Sightings Sightings
+
 	// Machines, if not nil, reads the platform's list of machines.
 	Machines func(ctx context.Context) ([]Machine, error)
 
@@ -110,6 +113,7 @@
 			continue
 		}
 		w := l.ensureWorker(m.Worker)
+		w.noteSighting(m.Incarnation, l.Sightings[Incarnation{m.Worker, m.Incarnation}])
 		r := newRun(js, u, i)
 		r.settledAt = l.startedAt // a worker that has answered this leader refuses the requests of earlier ones
 		r.inherited = true
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -49,6 +49,8 @@
 	listed      bool
 	knownSince  time.Time // when this leader first saw it
 	absentLists int       // consecutive lists of machines without it
+	sighted     int64     // newest incarnation that had runs before this leader began; 0 is unknown
+	sightedAt   time.Time // when this instance first knew of it, see Sightings
 
 	unresponsive bool   // did not answer the last sync
 	contacted    bool   // its incarnation has answered a sync with the present fencing token
