--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -28,6 +28,9 @@
 	// second; 0 means unknown.
 	LinkRate int64
 
+	// Sightings tells which workers were known before the epoch.
+	Sightings Sightings
+
 	// Metrics, if not nil, counts the log lines about waiting units by cause.
 	Metrics *metric.Set
 
@@ -122,6 +125,7 @@
 			continue
 		}
 		w := l.ensureWorker(m.Worker)
+		w.noteSighting(m.Incarnation, l.Sightings[Incarnation{m.Worker, m.Incarnation}])
 		r := newRun(js, u, i)
 		r.settledAt = l.startedAt // a worker that has answered this leader refuses the requests of earlier ones
 		r.inherited = true
