--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -25,6 +25,8 @@
 	incarnation int64 // of the worker; 0 is unknown
 	lostAt      time.Time
 	startedAt   time.Time // zero if an earlier leader started it
+	proof       proof     // of the time of the loss
+	stopped     bool      // it was being stopped
 	cause       lossCause
 	resumable   bool // the state lets it continue
 	lasting     bool // its task lasts: the unit goes on whatever its outcome
@@ -103,10 +105,19 @@
 }
 
 // runReturned reports whether the unit has a run on a worker although the state may
-// have none, or a reported end of a lost run that is not stored yet. The caller holds
-// l.mu.
+// have none, a reported end of a lost run that is not stored yet, or a lost run on a
+// worker that is listed and that this leader is asking for the first time. The caller
+// holds l.mu.
 func (l *Leader) runReturned(unit ledger.UnitID) bool {
-	return len(l.unitRuns[unit]) > 0 || slices.ContainsFunc(l.lost[unit], func(r *lostRun) bool { return r.endProposed })
+	return len(l.unitRuns[unit]) > 0 || slices.ContainsFunc(l.lost[unit], func(r *lostRun) bool {
+		return r.endProposed || l.workers[r.worker].beingAsked()
+	})
+}
+
+// beingAsked reports whether the worker may answer but has neither answered nor
+// failed to answer a sync of this leader.
+func (w *worker) beingAsked() bool {
+	return w != nil && w.listed && w.entry.Addr != "" && !w.contacted && !w.unresponsive
 }
 
 // resumeReported takes a lost run back that its worker reports as running, if that
@@ -115,13 +126,13 @@
 // caller holds l.mu.
 func (l *Leader) resumeReported(w *worker, key runKey, incarnation int64) (*run, []ledger.Record) {
 	r := l.findLost(w, key)
-	if r == nil || !r.resumable || r.endProposed || r.incarnation != incarnation || w.orphans[key] != nil || len(l.unitRuns[r.unit]) > 0 {
+	if r == nil || !r.resumable || r.stopped || r.endProposed || r.incarnation != incarnation || w.orphans[key] != nil || len(l.unitRuns[r.unit]) > 0 {
 		return nil, nil
 	}
 	if _, ok := l.proposedStarts[r.unit]; ok {
 		return nil, nil
 	}
-	n := &run{key: key, unit: r.unit, member: r.member, incarnation: incarnation, startedAt: r.startedAt, accepted: true, resuming: true}
+	n := &run{proof: r.proof, key: key, unit: r.unit, member: r.member, incarnation: incarnation, startedAt: r.startedAt, accepted: true, resuming: true}
 	if n.startedAt.IsZero() {
 		n.startedAt = time.Now()
 	}
@@ -246,17 +257,18 @@
 }
 
 // applyLostEnd acts on a stored end of a lost run: the worker may forget it, and
-// what was started after a run that is done is stopped. The caller holds the feed's
-// lock and l.mu.
-func (l *Leader) applyLostEnd(r *ledger.End, effective bool) {
+// what was started after a run that is done is stopped. done reports whether the unit
+// is done. The caller holds l.mu.
+func (l *Leader) applyLostEnd(r *ledger.End, effective, done bool) {
 	for _, o := range slices.Clone(l.lost[r.Unit]) {
 		if o.key.run != r.Run || o.member != r.Member || !o.endProposed {
 			continue
 		}
 		l.setLost(r.Unit, slices.DeleteFunc(l.lost[r.Unit], func(x *lostRun) bool { return x == o }))
-		if effective {
+		switch {
+		case effective:
 			l.stopSuccessors(o)
-		} else {
+		case !done: // otherwise another member of the gang was done first
 			l.Logger.Info("reported end of a lost run has no effect", append(o.fields(), zap.String("how", string(r.Outcome)))...)
 		}
 		if w := l.workers[o.worker]; w != nil {
@@ -267,6 +279,16 @@
 	}
 }
 
+// unitDone reports whether the state has the unit and it is done.
+func unitDone(s *ledger.State, id ledger.UnitID) bool {
+	js := s.Jobs[id.Job]
+	if js == nil {
+		return false
+	}
+	u := js.Unit(id)
+	return u != nil && u.Done
+}
+
 // hasEnded reports whether the worker has reported an end of a run that counts as
 // lost. The caller holds l.mu.
 func (l *Leader) hasEnded(n *run) bool {
@@ -281,7 +303,7 @@
 	if r == nil {
 		return
 	}
-	r.cause, r.startedAt = n.lossCause, n.startedAt
+	r.cause, r.startedAt, r.proof, r.stopped = n.lossCause, n.startedAt, n.proof, n.stopping
 	if !n.returned {
 		return
 	}
