Bound how long a ready unit is kept waiting by choice

Callers saw jobs with nothing running for more than 3 s although there was room for them twice over. A unit whose tasks should run in one rack, or in the rack of its data, waited there for twice its estimate; a lasting task with an estimate of a minute for two. Resources reserved for others kept a unit out for up to 10 s while they were idle. Such waits added up with those for workers on which the unit had not failed, for workers without crash suspects and for the pause before its next run, because each began when the one before was over, and all began anew with each leader.

MaxChoiceWaitMs now bounds them together: 2 s from the time from which the unit could run and all rounds have found room for it. The leader derives the first from the state, so that a new leader does not begin anew; the planner returns the second with each wait. The bound holds for a unit whose job has nothing running and for each lasting one. Others still wait for a rack while this pays off, and so does a unit for which room is scarce.

So that fewer units leave their rack at the bound, the rack is reserved at once if it becomes free within the bound, and preemption replaces such a reservation. An overdue unit may use resources that are reserved for others; the unit for which they were reserved may preempt it once it can start then, so that large gangs do not starve. A pause is at most the bound, for a lasting task at most 5 s, as callers expect it back after 6 s, and no longer than that after the leader has seen the unit if the clock of the leader before was ahead. A unit is no longer skipped because a unit of its step with other suitable workers was not placed.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -40,9 +40,10 @@
 	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
 	reservations   map[ledger.UnitID]reservation
-	waits          map[ledger.UnitID]*unitWait // of the last planning round
-	round          int64                       // number of the planning round
-	waitsLoggedAt  int64                       // Unix ms of the last lines about waiting units
+	waits          map[ledger.UnitID]*unitWait       // of the last planning round
+	displaced      map[ledger.UnitID][]ledger.UnitID // by unit that runs or starts: those whose reserved resources it uses
+	round          int64                             // number of the planning round
+	waitsLoggedAt  int64                             // Unix ms of the last lines about waiting units
 	pacer          *pacer
 	planWake       chan struct{}
 	ctx            context.Context
@@ -93,6 +94,7 @@
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
 	l.reservations = make(map[ledger.UnitID]reservation)
 	l.waits = make(map[ledger.UnitID]*unitWait)
+	l.displaced = make(map[ledger.UnitID][]ledger.UnitID)
 	l.planWake = make(chan struct{}, 1)
 	l.pacer = newPacer(l.LinkRate)
 	l.mu.Lock()
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -134,11 +134,20 @@
 			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
 		}
 		l.proposedStarts[u.ID] = start
+		for _, unit := range st.Displaces {
+			delete(l.reservations, unit)
+			l.displaced[u.ID] = append(l.displaced[u.ID], unit)
+		}
 		l.Logger.Info("start", zap.Stringer("unit", u.ID), zap.Int("run", u.Run), zap.Int("priority", u.Priority), zap.Bool("sure", u.Guaranteed),
-			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers))
+			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers), zap.Stringers("displaces", st.Displaces))
 	}
 	until := time.Now().Add(reservationTime)
 	for _, h := range out.Reservations {
+		w := l.waiting(h.Unit, in.Now)
+		if w.reservedSince == 0 {
+			w.reservedSince = in.Now
+		}
+		h.Since = w.reservedSince
 		if h.NonPreemptive {
 			l.Logger.Info("resources reserved as they become free", zap.Stringer("unit", h.Unit), zap.Strings("workers", h.Workers))
 			l.reservations[h.Unit] = reservation{h, until.Add(drainExtraTime)}
@@ -156,6 +165,7 @@
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
 	in := plan.Input{Now: now.UnixMilli()}
+	l.forgetDisplaced()
 	guaranteed := guaranteedJobs(s, cfg)
 	for _, js := range s.Jobs {
 		if !js.Phase.Final() {
@@ -224,6 +234,7 @@
 func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool) {
 	runningTasks := make(map[stepKey]map[string]int)
 	ready := make(map[stepKey]bool)
+	idle := l.idle(js)
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -238,7 +249,7 @@
 		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
 			continue
 		}
-		if in.Now < u.RunEndedAt+u.RetryDelay() {
+		if l.pausing(js, u, in.Now) {
 			l.noteWait(u.ID, in.Now, waitPause)
 			continue
 		}
@@ -256,13 +267,14 @@
 		}
 		w := l.waiting(u.ID, in.Now)
 		if w.since == 0 {
-			w.since = in.Now
+			w.since, w.roomSince = in.Now, couldRunSince(js, u, in.Now)
 		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
 			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
+			RoomSince: w.roomSince, JobIdle: idle, Lasting: step.LongRunning,
 		})
 	}
 }
@@ -312,7 +324,7 @@
 			continue
 		}
 		step := &js.Job.Steps[unit.Step]
-		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs))}
+		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs)), Displaces: l.displaced[unit]}
 		for _, n := range runs {
 			f := free[n.worker.id]
 			*f = f.Sub(v.Need)
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -39,6 +39,9 @@
 	began int64 // Unix ms at which this leader first saw it waiting for any cause
 	round int64 // number of the last round in which it waited
 
+	roomSince     int64 // see plan.WaitingUnit
+	reservedSince int64 // Unix ms since which it has had reservations without a gap; 0 if it has none
+
 	cause plan.WaitCause
 	fits  int
 	width int
@@ -47,6 +50,68 @@
 	loggedCause plan.WaitCause
 }
 
+// pausing reports whether the unit still has to pause before its next run. A pause
+// is one of the waits by choice; a task that lasts may pause for longer, because
+// callers expect it back only some seconds later. The end of the last run is
+// another instance's time, so the pause ends at the latest when this leader has
+// seen all of it. The caller holds l.mu.
+func (l *Leader) pausing(js *ledger.JobState, u *ledger.Unit, now int64) bool {
+	pause := pauseOf(js, u)
+	if pause == 0 || now >= u.RunEndedAt+pause {
+		return false
+	}
+	return now < l.waiting(u.ID, now).began+pause
+}
+
+// pauseOf returns the pause in ms from the end of the unit's last run to its next.
+func pauseOf(js *ledger.JobState, u *ledger.Unit) int64 {
+	pause := u.RetryDelay()
+	if js.Job.Steps[u.ID.Step].LongRunning {
+		return pause
+	}
+	return min(pause, plan.MaxChoiceWaitMs)
+}
+
+// couldRunSince returns the Unix time in ms from which on the unit could run: when
+// its job was accepted, it was due, the steps before it ended and its last run
+// ended, with the pause if its task lasts. The times are those of several
+// instances' clocks; the result is at most MaxChoiceWaitMs before now.
+func couldRunSince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+	since := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence), u.RunEndedAt)
+	step := &js.Job.Steps[u.ID.Step]
+	if step.LongRunning {
+		since = max(since, u.RunEndedAt+pauseOf(js, u))
+	}
+	for i := range js.Units {
+		before := &js.Units[i]
+		if before.ID.Occurrence == u.ID.Occurrence && slices.Contains(step.After, before.ID.Step) {
+			since = max(since, before.RunEndedAt)
+		}
+	}
+	return max(min(since, now), now-plan.MaxChoiceWaitMs)
+}
+
+// idle reports whether no unit of the job runs or is about to start. The caller
+// holds l.mu.
+func (l *Leader) idle(js *ledger.JobState) bool {
+	for i := range js.Units {
+		u := &js.Units[i]
+		if _, proposed := l.proposedStarts[u.ID]; proposed || u.Active() {
+			return false
+		}
+	}
+	return true
+}
+
+// forgetDisplaced forgets which reservations ended runs used. The caller holds l.mu.
+func (l *Leader) forgetDisplaced() {
+	for unit := range l.displaced {
+		if _, proposed := l.proposedStarts[unit]; !proposed && len(l.unitRuns[unit]) == 0 {
+			delete(l.displaced, unit)
+		}
+	}
+}
+
 // waiting returns the entry of a unit that waits in this round. The caller holds
 // l.mu.
 func (l *Leader) waiting(unit ledger.UnitID, now int64) *unitWait {
@@ -71,6 +136,7 @@
 	for _, wait := range out.Waits {
 		w := l.waiting(wait.Unit.ID, in.Now)
 		w.cause, w.fits, w.width = wait.Cause, wait.Fits, wait.Unit.Width
+		w.roomSince = wait.RoomSince
 	}
 	for _, st := range planned {
 		l.noteWait(st.Unit.ID, in.Now, waitPaced)
@@ -89,6 +155,9 @@
 			delete(l.waits, unit)
 			continue
 		}
+		if _, ok := l.reservations[unit]; !ok {
+			w.reservedSince = 0
+		}
 		if w.dueForLog(now) {
 			due = append(due, unit)
 		}
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -51,3 +51,70 @@
 	}
 	is.Equal(lines.Len(), 4*maxWaitLines)
 }
+
+// waitingJob returns a job with two steps, the second of which follows the first and lasts.
+func waitingJob(acceptedAt int64) *ledger.JobState {
+	s := ledger.NewState()
+	s.Apply(ledger.Record{Submit: &ledger.Job{ID: "a", AcceptedAt: acceptedAt, Steps: []ledger.Step{{Count: 2}, {Count: 1, After: []int{0}, LongRunning: true}}}})
+	return s.Jobs["a"]
+}
+
+// Guards against a wait that begins anew with each leader or after a pause, and against one that clocks which differ make longer.
+func TestCouldRunSince(t *testing.T) {
+	const now = 100_000
+	tests := []struct {
+		name   string
+		step   int // of the unit
+		change func(js *ledger.JobState)
+		want   int64
+	}{
+		{"accepted", 0, func(*ledger.JobState) {}, now - 1500},
+		{"accepted long ago", 0, func(js *ledger.JobState) { js.Job.AcceptedAt = 0 }, now - plan.MaxChoiceWaitMs},
+		{"accepted by a clock that is ahead", 0, func(js *ledger.JobState) { js.Job.AcceptedAt = now + 5000 }, now},
+		{"due", 0, func(js *ledger.JobState) { js.Job.OccurrenceCount, js.Job.FirstDue = 1, now-100 }, now - 100},
+		{"after its last run, with the pause", 0, func(js *ledger.JobState) { js.Units[0].RunEndedAt, js.Units[0].Failures = now-700, 5 }, now - 700},
+		{"after the steps before", 1, func(js *ledger.JobState) { js.Units[0].RunEndedAt, js.Units[1].RunEndedAt = now-300, now-200 }, now - 200},
+		{"lasts, after the pause", 1, func(js *ledger.JobState) { js.Units[2].RunEndedAt, js.Units[2].Failures = now-700, 5 }, now - 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			js := waitingJob(now - 1500)
+			tt.change(js)
+			is.Equal(couldRunSince(js, &js.Units[2*tt.step], now), tt.want)
+		})
+	}
+}
+
+// Guards against a pause before the next run that is longer than callers expect, also if the clock of the earlier leader was ahead.
+func TestPause(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     int // of the unit
+		failures int
+		endedAt  int64 // against the time at which the leader sees the unit
+		want     int64 // ms for which the leader sees it pause
+	}{
+		{"no failure, clock ahead", 0, 0, 60_000, 0},
+		{"three failures", 0, 3, 0, 300},
+		{"many failures", 0, 100, 0, plan.MaxChoiceWaitMs},
+		{"many failures, seen late", 0, 100, -1500, plan.MaxChoiceWaitMs - 1500},
+		{"many failures, clock ahead", 0, 100, 60_000, plan.MaxChoiceWaitMs},
+		{"lasting, many failures", 1, 100, 0, 5000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := &Leader{waits: make(map[ledger.UnitID]*unitWait)}
+			js := waitingJob(0)
+			u := &js.Units[2*tt.step]
+			const seenAt = 100_000
+			u.Failures, u.RunEndedAt = tt.failures, seenAt+tt.endedAt
+			now := int64(seenAt)
+			for l.pausing(js, u, now) {
+				now += 50
+			}
+			is.Equal(now-seenAt, tt.want)
+		})
+	}
+}
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -85,6 +85,7 @@
 	Account      string
 	Priority     int
 	ReadySince   int64     // Unix ms from which on it could start
+	RoomSince    int64     // Unix ms since which it could run and all rounds found room for it, see Wait; 0 if the last one did not
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
 	Width        int       // number of tasks
@@ -98,6 +99,10 @@
 	AvoidWorkers []string       // workers on which it failed
 	Guaranteed   bool           // within its account's guarantee
 	CrashSuspect bool           // a worker crashed under it lately, perhaps because of it
+	JobIdle      bool           // no task of its job runs or is about to start
+	Lasting      bool           // its tasks run until the job is cancelled
+
+	anywhere bool // its preferences count no longer, see placeOverdue
 }
 
 // RunningUnit is a unit with a run that has not ended.
@@ -111,6 +116,8 @@
 	Guaranteed  bool      // within its account's guarantee
 	Stopping    bool      // a stop has been requested or the run is ending
 
+	Displaces []ledger.UnitID // units whose reserved resources it uses; they may preempt it
+
 	stopCost  float64         // core-seconds that a stop loses
 	preempted bool            // by this round
 	victimOf  *preemptionPlan // newest plan that chose it
@@ -123,7 +130,8 @@
 	Priority      int // more urgent units may use the resources
 	Need          Resources
 	Workers       []string
-	NonPreemptive bool // nothing is stopped for it: the resources are freed by units that end
+	NonPreemptive bool  // nothing is stopped for it: the resources are freed by units that end
+	Since         int64 // Unix ms since which the unit has had reservations without a gap
 }
 
 // Input is the state on which one round of planning decides.
@@ -137,8 +145,9 @@
 
 // Placement assigns a unit to workers, one for each task.
 type Placement struct {
-	Unit    *WaitingUnit
-	Workers []string
+	Unit      *WaitingUnit
+	Workers   []string
+	Displaces []ledger.UnitID // units whose reserved resources it uses; their reservations are void
 }
 
 // Output holds the decisions of one round.
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
@@ -19,7 +20,7 @@
 
 	// avoidWorkersMs bounds how long a unit waits for workers on which it has
 	// not failed.
-	avoidWorkersMs = 2000
+	avoidWorkersMs = MaxChoiceWaitMs
 
 	// crashApartMs bounds how long a crash suspect waits for workers without
 	// another one. A second crash then tells which of them is the cause.
@@ -51,6 +52,11 @@
 	reserved  map[ledger.UnitID]Reservation // at the start of the round
 	out       Output
 
+	pending     []Reservation     // not subtracted yet, by priority
+	subtracted  []Reservation     // of in.Reservations
+	unplaceable map[unitKind]bool // kinds of a unit that could not be placed
+	started     map[string]bool   // jobs with placements
+
 	indexed       bool                      // the running units are listed by worker
 	byRemaining   map[string][]*RunningUnit // running units by worker, the first to end first; nil until needed
 	nonPreemptive int                       // number of non-preemptive reservations
@@ -66,6 +72,9 @@
 		workers:  make(map[string]*Worker, len(in.Workers)),
 		racks:    make(map[string][]*Worker),
 		reserved: make(map[ledger.UnitID]Reservation),
+
+		unplaceable: make(map[unitKind]bool),
+		started:     make(map[string]bool),
 	}
 	for _, w := range in.Workers {
 		r.workers[w.ID] = w
@@ -81,41 +90,67 @@
 			r.nonPreemptive++
 		}
 	}
+	r.pending = slices.SortedStableFunc(slices.Values(in.Reservations), func(a, b Reservation) int { return cmp.Compare(a.Priority, b.Priority) })
 	return r
 }
 
 // Decide places the waiting units in the order of their urgency.
 func Decide(in Input) Output {
 	r := newRound(in)
-	reservations := slices.SortedStableFunc(slices.Values(in.Reservations), func(a, b Reservation) int { return cmp.Compare(a.Priority, b.Priority) })
 	sortWaiting(in.Waiting)
-	type stepKey struct {
-		job              string
-		occurrence, step int
-	}
-	unplaceable := make(map[stepKey]bool) // steps with a unit that could not be placed; their other units are skipped
-	attempts := 0
-	for i, u := range in.Waiting {
-		for len(reservations) > 0 && reservations[0].Priority <= u.Priority {
-			r.deduct(reservations[0], 1)
-			reservations = reservations[1:]
-		}
-		key := stepKey{u.ID.Job, u.ID.Occurrence, u.ID.Step}
-		if unplaceable[key] {
+	for _, u := range r.placeInOrder(in.Waiting, maxPlacementAttempts) {
+		r.addUntried(u, WaitRoundLimit)
+	}
+	return r.out
+}
+
+// placeInOrder tries to place the units, whose order is that of their urgency. It
+// returns those that are left after the given number of attempts.
+func (r *round) placeInOrder(units []*WaitingUnit, attempts int) (rest []*WaitingUnit) {
+	for i, u := range units {
+		r.subtractReservations(u.Priority)
+		kind := r.kindOf(u)
+		if _, reserved := r.reserved[u.ID]; r.unplaceable[kind] && !reserved {
 			r.addUntried(u, WaitStep)
 			continue
 		}
-		if attempts++; attempts > maxPlacementAttempts {
-			for _, u := range in.Waiting[i:] {
-				r.addUntried(u, WaitRoundLimit)
-			}
-			break
+		if attempts == 0 {
+			return units[i:]
 		}
+		attempts--
 		if !r.place(u) {
-			unplaceable[key] = true
+			r.unplaceable[kind] = true
 		}
 	}
-	return r.out
+	return nil
+}
+
+// stepKey identifies one occurrence of a step.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// stepOf returns the step of the unit.
+func stepOf(u *WaitingUnit) stepKey { return stepKey{u.ID.Job, u.ID.Occurrence, u.ID.Step} }
+
+// unitKind is what units of one step have in common if the same workers are
+// suitable for them. If one of them cannot be placed, the others cannot either.
+type unitKind struct {
+	step         stepKey
+	avoidWorkers string
+	apart        bool // from crash suspects
+	anyRack      bool
+	overdue      bool
+}
+
+// kindOf returns the kind of the unit.
+func (r *round) kindOf(u *WaitingUnit) unitKind {
+	k := unitKind{step: stepOf(u), apart: r.staysApart(u), anyRack: r.rackWaitOver(u), overdue: r.overdue(u)}
+	if !r.avoidanceOver(u) {
+		k.avoidWorkers = strings.Join(u.AvoidWorkers, " ")
+	}
+	return k
 }
 
 // sortWaiting sorts units by priority. Within one priority, units within their
@@ -155,6 +190,27 @@
 	return n
 }
 
+// subtractReservations subtracts the reservations that units of the priority must
+// respect: those of units that are as urgent or more urgent.
+func (r *round) subtractReservations(priority int) {
+	for len(r.pending) > 0 && r.pending[0].Priority <= priority {
+		r.subtract(r.pending[0])
+		r.pending = r.pending[1:]
+	}
+}
+
+// subtract subtracts a reservation's resources from the free ones.
+func (r *round) subtract(h Reservation) {
+	r.deduct(h, 1)
+	r.subtracted = append(r.subtracted, h)
+}
+
+// giveBack undoes subtract.
+func (r *round) giveBack(h Reservation) {
+	r.deduct(h, -1)
+	r.subtracted = slices.DeleteFunc(r.subtracted, func(o Reservation) bool { return o.Unit == h.Unit })
+}
+
 // deduct subtracts the reservation's resources from its workers, or returns
 // them with sign -1.
 func (r *round) deduct(h Reservation, sign int64) {
@@ -167,12 +223,12 @@
 }
 
 // place starts the unit, or reserves resources for it, and reports whether the
-// step's other units should be tried in this round as well.
+// other units of its kind should be tried in this round as well.
 func (r *round) place(u *WaitingUnit) bool {
 	r.relaxAvoidance(u)
 	h, reserved := r.reserved[u.ID]
-	if reserved {
-		r.deduct(h, -1)
+	if reserved = reserved && h.Priority <= u.Priority; reserved {
+		r.giveBack(h)
 		if r.canStartOn(u, h.Workers) {
 			r.start(u, h.Workers)
 			return true
@@ -182,27 +238,43 @@
 		r.start(u, workers)
 		return true
 	}
-	r.addWait(u)
+	wait := r.wait(u)
+	if r.overdue(u) && wait.RoomSince > 0 && r.placeOverdue(u) {
+		return true
+	}
+	r.out.Waits = append(r.out.Waits, wait)
+	waited := r.in.Now - u.ReadySince
+	mayPreempt := u.Priority == 0 || waited > preemptWaitMs
+	if reserved {
+		// Runs may not end as estimated; the rack is still worth a preemption.
+		mayPreempt = mayPreempt && h.NonPreemptive && wait.Cause == WaitRack
+	}
+	if mayPreempt && r.preempt(u) {
+		return true
+	}
 	if reserved {
-		r.deduct(h, 1)
+		r.subtract(h)
 		return true
 	}
-	wait := r.in.Now - u.ReadySince
-	if (u.Priority == 0 || wait > preemptWaitMs) && r.preempt(u) {
+	if wait.Cause == WaitRack && r.standsStill(u) && r.reserveInRack(u, wait) {
 		return true
 	}
-	return wait > reserveWaitMs && r.reserveWithoutPreemption(u)
+	return waited > reserveWaitMs && r.reserveWithoutPreemption(u)
 }
 
 // relaxAvoidance permits the workers on which the unit failed if the other
 // workers could not hold it even when empty, or if it has waited for them for
 // more than avoidWorkersMs.
 func (r *round) relaxAvoidance(u *WaitingUnit) {
-	if len(u.AvoidWorkers) > 0 && (r.in.Now-u.ReadySince > avoidWorkersMs || r.capacity(u, r.in.Workers, true) < u.Width) {
+	if len(u.AvoidWorkers) > 0 && (r.avoidanceOver(u) || r.capacity(u, r.in.Workers, true) < u.Width) {
 		u.AvoidWorkers = nil
 	}
 }
 
+// avoidanceOver reports whether the unit has waited for workers on which it has
+// not failed for long enough.
+func (r *round) avoidanceOver(u *WaitingUnit) bool { return r.in.Now-u.ReadySince > avoidWorkersMs }
+
 // canStartOn reports whether the unit may start on the workers now.
 func (r *round) canStartOn(u *WaitingUnit, workers []string) bool {
 	count := make(map[string]int64)
@@ -236,7 +308,8 @@
 			u.RunningTasks[id]++ // shared by the units of the step
 		}
 	}
-	r.out.Placements = append(r.out.Placements, Placement{u, workers})
+	r.started[u.ID.Job] = true
+	r.out.Placements = append(r.out.Placements, Placement{Unit: u, Workers: workers})
 }
 
 // chooseWorkers returns workers with enough free resources for all tasks of the
@@ -299,7 +372,7 @@
 	if u.Guaranteed {
 		wait = min(wait, guaranteedRackWaitMs)
 	}
-	return r.in.Now-u.ReadySince > wait
+	return u.anywhere || r.in.Now-u.ReadySince > wait
 }
 
 // capacity returns how many tasks of the unit fit on the workers: on their
@@ -330,12 +403,17 @@
 
 // eligible reports whether the unit may run on the worker at all.
 func (r *round) eligible(u *WaitingUnit, w *Worker) bool {
-	if u.CrashSuspect && w.Watched && r.in.Now-u.ReadySince <= crashApartMs {
+	if w.Watched && r.staysApart(u) {
 		return false
 	}
 	return suits(u, w) && !avoids(u, w)
 }
 
+// staysApart reports whether the unit waits for workers without crash suspects.
+func (r *round) staysApart(u *WaitingUnit) bool {
+	return u.CrashSuspect && !u.anywhere && r.in.Now-u.ReadySince <= crashApartMs
+}
+
 // suits reports whether the worker has the service and the label of the unit.
 func suits(u *WaitingUnit, w *Worker) bool { return w.Service == u.Service && w.HasLabel(u.Label) }
 
--- a/internal/fleet/plan/preempt.go
+++ b/internal/fleet/plan/preempt.go
@@ -33,10 +33,31 @@
 // reserveWithoutPreemption reserves resources for the unit where they become
 // free first. It reports whether it found a way.
 func (r *round) reserveWithoutPreemption(u *WaitingUnit) bool {
+	return r.reserveAtEndOf(u, r.ending)
+}
+
+// reserveInRack reserves resources in the unit's rack, or in one rack, if they
+// become free before the unit may start elsewhere. Small units would otherwise
+// occupy them meanwhile.
+func (r *round) reserveInRack(u *WaitingUnit, wait Wait) bool {
+	left := wait.RoomSince + MaxChoiceWaitMs - r.in.Now
+	return wait.RoomSince > 0 && r.reserveAtEndOf(u, func(u *WaitingUnit, w *Worker) []*RunningUnit {
+		units := r.ending(u, w)
+		n := slices.IndexFunc(units, func(v *RunningUnit) bool { return v.RemainingMs > left })
+		if n < 0 {
+			return units
+		}
+		return units[:n]
+	})
+}
+
+// reserveAtEndOf reserves resources for the unit where the ends of the units that
+// on returns free them first. It reports whether it found a way.
+func (r *round) reserveAtEndOf(u *WaitingUnit, on func(u *WaitingUnit, w *Worker) []*RunningUnit) bool {
 	if r.nonPreemptive >= maxNonPreemptive {
 		return false
 	}
-	best := r.cheapestPlan(u, endingUnits{r.ending, endingCost})
+	best := r.cheapestPlan(u, endingUnits{on, endingCost})
 	if best == nil {
 		return false
 	}
@@ -65,9 +86,10 @@
 }
 
 // preemptible returns the worker's units that the unit may preempt, in the order
-// in which they would be stopped. These are less urgent units and, if the unit is
-// within its account's guarantee, units of the same priority that are not within
-// theirs. The result is valid until the next call.
+// in which they would be stopped. These are less urgent units and units of the same
+// priority that are not within their account's guarantee, if the unit is within its
+// own or they use resources that were reserved for it. The result is valid until the
+// next call.
 func (r *round) preemptible(u *WaitingUnit, w *Worker) []*RunningUnit {
 	out := r.candidates[:0]
 	running := w.byStopCost()
@@ -76,11 +98,9 @@
 			out = append(out, v)
 		}
 	}
-	if u.Guaranteed {
-		for _, v := range running {
-			if v.Priority == u.Priority && !v.Guaranteed {
-				out = append(out, v)
-			}
+	for _, v := range running {
+		if v.Priority == u.Priority && !v.Guaranteed && (u.Guaranteed || slices.Contains(v.Displaces, u.ID)) {
+			out = append(out, v)
 		}
 	}
 	r.candidates = out
--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -1,5 +1,7 @@
 package plan
 
+import "slices"
+
 // WaitCause says what keeps a unit from being placed.
 type WaitCause string
 
@@ -15,11 +17,24 @@
 	WaitRoundLimit WaitCause = "planning round too long" // not tried: the round had tried as many units as it may
 )
 
+// MaxChoiceWaitMs bounds how long a unit is kept waiting by choice while there is
+// room for it and its job has nothing running, or its tasks last. It covers all
+// that the scheduler prefers to an early start: a rack, workers on which the unit
+// has not failed or that run no other crash suspect, resources that are reserved
+// for others, and a pause before the next run. These waits overlap and do not add
+// up, because all are counted from the time from which the unit could run. Callers
+// expect a task to start within 3 s of that time; planning, the append and the
+// start request need the rest.
+const MaxChoiceWaitMs = 2000
+
 // Wait is a unit that a round did not place, with what keeps it.
 type Wait struct {
 	Unit  *WaitingUnit
 	Cause WaitCause
 	Fits  int // tasks of the unit that fit on free resources, whatever is reserved or preferred; 0 if it was not tried
+
+	// RoomSince is the unit's RoomSince in the next round.
+	RoomSince int64
 }
 
 // roomCount is the number of tasks of a unit that fit on the workers of its service
@@ -30,6 +45,7 @@
 	free    int // on free resources that are not reserved
 	trusted int // of free, without the workers that the unit avoids
 	allowed int // of trusted, without the workers of other crash suspects
+	ample   int // as idle, without the limit of its step
 }
 
 // countRoom counts the room for the unit.
@@ -40,7 +56,9 @@
 			continue
 		}
 		c.empty += r.limitPerWorker(u, w, w.Total.MaxTasks(u.Need))
-		c.idle += r.limitPerWorker(u, w, w.Free.Add(w.reserved).MaxTasks(u.Need))
+		idle := w.Free.Add(w.reserved).MaxTasks(u.Need)
+		c.idle += r.limitPerWorker(u, w, idle)
+		c.ample += idle
 		free := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need))
 		c.free += free
 		if avoids(u, w) {
@@ -71,13 +89,90 @@
 	return WaitRack
 }
 
-// addWait adds the unit, which the round does not place, to its output.
-func (r *round) addWait(u *WaitingUnit) {
+// hasRoom reports whether the resources for a unit of the width are not scarce.
+// Callers expect an early start while there is room for the unit twice over. The
+// planner asks for half of that surplus: it still counts runs that have just ended
+// and counts starts that have not reached their workers.
+func (c roomCount) hasRoom(width int) bool { return c.idle >= width && c.ample >= width*3/2 }
+
+// wait returns the wait of a unit that the round tried and did not place.
+func (r *round) wait(u *WaitingUnit) Wait {
 	c := r.countRoom(u)
-	r.out.Waits = append(r.out.Waits, Wait{u, c.cause(u.Width), c.idle})
+	w := Wait{Unit: u, Cause: c.cause(u.Width), Fits: c.idle}
+	switch {
+	case !c.hasRoom(u.Width):
+	case u.RoomSince > 0:
+		w.RoomSince = u.RoomSince
+	default:
+		w.RoomSince = r.in.Now
+	}
+	return w
 }
 
 // addUntried adds a unit that the round does not try to place.
 func (r *round) addUntried(u *WaitingUnit, cause WaitCause) {
-	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause})
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince})
+}
+
+// standsStill reports whether the unit's start is urgent for its job: nothing of
+// the job runs, or the unit's tasks last and so count each by itself.
+func (r *round) standsStill(u *WaitingUnit) bool {
+	return u.Lasting || u.JobIdle && !r.started[u.ID.Job]
+}
+
+// overdue reports whether there has been room for the unit for longer than
+// MaxChoiceWaitMs, and its start is urgent for its job.
+func (r *round) overdue(u *WaitingUnit) bool {
+	return r.standsStill(u) && u.RoomSince > 0 && r.in.Now-u.RoomSince > MaxChoiceWaitMs
+}
+
+// placeOverdue starts an overdue unit on any suitable workers, if need be on
+// resources that are reserved for other units, and reports whether it found some.
+func (r *round) placeOverdue(u *WaitingUnit) bool {
+	u.anywhere, u.AvoidWorkers = true, nil
+	if workers := r.chooseWorkers(u); workers != nil {
+		r.start(u, workers)
+		return true
+	}
+	var given []Reservation
+	for _, h := range r.subtracted {
+		if r.givesWay(h) {
+			given = append(given, h)
+			r.deduct(h, -1)
+		}
+	}
+	workers := r.chooseWorkers(u)
+	if workers != nil {
+		r.start(u, workers)
+	}
+	for _, h := range given {
+		r.deduct(h, 1)
+		if workers != nil && r.lacksResources(h, workers) {
+			p := &r.out.Placements[len(r.out.Placements)-1]
+			p.Displaces = append(p.Displaces, h.Unit)
+		}
+	}
+	return workers != nil
+}
+
+// givesWay reports whether an overdue unit may use the reserved resources, however
+// urgent the unit is for which they are reserved. Resources that become free as
+// runs end may be idle for long until there are enough of them. The unit for which
+// they were reserved gets another reservation, and may preempt the overdue one once
+// it can start then, so that large gangs do not starve. Work was stopped for the
+// other reservations, and they are used at once; they give way only if they have
+// been renewed for longer than an overdue unit has to wait.
+func (r *round) givesWay(h Reservation) bool {
+	return h.NonPreemptive || r.in.Now-h.Since > MaxChoiceWaitMs
+}
+
+// lacksResources reports whether the reservation covers more than is free on one
+// of the given workers.
+func (r *round) lacksResources(h Reservation, workers []string) bool {
+	for _, id := range h.Workers {
+		if w := r.workers[id]; w != nil && slices.Contains(workers, id) && !w.Free.Fits(Resources{}) {
+			return true
+		}
+	}
+	return false
 }
