Try all waiting units in turn

A round of planning tries 400 units, the most urgent first. With as many of them that find no room, those behind were never tried, however much room there was for them: a row of TestReadyUnitStartsWithinBound with 3,000 units that need a whole worker each failed, the small unit behind them did not start at all.

Half of the attempts still go to the most urgent units. Once the other half begins, the steps that were tried the longest ago come first.

--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -40,6 +40,7 @@
 	round int64 // number of the last round in which it waited
 
 	roomSince     int64 // see plan.WaitingUnit
+	triedAt       int64 // see plan.WaitingUnit
 	reservedSince int64 // Unix ms since which it has had reservations without a gap; 0 if it has none
 
 	cause plan.WaitCause
@@ -137,6 +138,9 @@
 		w := l.waiting(wait.Unit.ID, in.Now)
 		w.cause, w.fits, w.width = wait.Cause, wait.Fits, wait.Unit.Width
 		w.roomSince = wait.RoomSince
+		if wait.Cause != plan.WaitRoundLimit {
+			w.triedAt = in.Now
+		}
 	}
 	for _, st := range planned {
 		l.noteWait(st.Unit.ID, in.Now, waitPaced)
--- a/internal/fleet/plan/bound_test.go
+++ b/internal/fleet/plan/bound_test.go
@@ -111,6 +111,9 @@
 		s.reserve(h)
 	}
 	for _, w := range out.Waits {
+		if w.Cause != WaitRoundLimit {
+			w.Unit.TriedAt = s.now
+		}
 		w.Unit.RoomSince = w.RoomSince
 		if c := s.causes[w.Unit.ID]; len(c) == 0 || c[len(c)-1] != w.Cause {
 			s.causes[w.Unit.ID] = append(c, w.Cause)
@@ -260,6 +263,15 @@
 			u.RoomSince = s.now - 1500
 			return u
 		}},
+		{"many units of other jobs that find no room come first", 8, func(s *simulation) *WaitingUnit {
+			s.occupy("busy", 1, 2, minute, all(8)...)
+			for i := range 3000 {
+				s.submit(unit(fmt.Sprintf("large%d", i), 1, 1, 4))
+			}
+			u := unit("z", 1, 1, 1)
+			u.AcceptedAt = 1 // the last
+			return u
+		}},
 		{"a unit of its step can start nowhere", 8, func(s *simulation) *WaitingUnit {
 			s.occupy("busy", 1, 4, minute, 0, 1, 2, 3)
 			first := unit("a", 1, 1, 1)
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -86,6 +86,7 @@
 	Priority     int
 	ReadySince   int64     // Unix ms from which on it could start
 	RoomSince    int64     // Unix ms since which it could run and all rounds found room for it, see Wait; 0 if the last one did not
+	TriedAt      int64     // Unix ms of the last round that tried to place it; 0 is never
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
 	Width        int       // number of tasks
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -38,8 +39,11 @@
 	// maxNonPreemptive bounds the non-preemptive reservations at one time.
 	maxNonPreemptive = 3
 
-	// maxPlacementAttempts bounds the units that one round tries to place.
+	// maxPlacementAttempts bounds the units that one round tries to place. The
+	// most urgent ones come first; once only maxTurnAttempts are left, those come
+	// first that were tried the longest ago, so that each has its turn.
 	maxPlacementAttempts = 400
+	maxTurnAttempts      = 200
 )
 
 // round is the state of one round of planning. The free resources of its
@@ -98,7 +102,10 @@
 func Decide(in Input) Output {
 	r := newRound(in)
 	sortWaiting(in.Waiting)
-	for _, u := range r.placeInOrder(in.Waiting, maxPlacementAttempts) {
+	rest := r.placeInOrder(in.Waiting, maxPlacementAttempts-maxTurnAttempts)
+	next, later := nextTurn(rest)
+	later = append(r.placeInOrder(next, maxTurnAttempts), later...)
+	for _, u := range later {
 		r.addUntried(u, WaitRoundLimit)
 	}
 	return r.out
@@ -125,6 +132,36 @@
 	return nil
 }
 
+// nextTurn divides units into those of the steps that were tried the longest ago
+// and the others. Both stay in their order.
+func nextTurn(units []*WaitingUnit) (next, later []*WaitingUnit) {
+	triedAt := make(map[stepKey]int64)
+	for _, u := range units {
+		at, ok := triedAt[stepOf(u)]
+		if !ok || u.TriedAt < at {
+			triedAt[stepOf(u)] = u.TriedAt
+		}
+	}
+	if len(triedAt) <= maxTurnAttempts {
+		return units, nil
+	}
+	steps := slices.SortedFunc(maps.Keys(triedAt), func(a, b stepKey) int {
+		return cmp.Or(cmp.Compare(triedAt[a], triedAt[b]), cmp.Compare(a.job, b.job), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step))
+	})
+	chosen := make(map[stepKey]bool)
+	for _, key := range steps[:maxTurnAttempts] {
+		chosen[key] = true
+	}
+	for _, u := range units {
+		if chosen[stepOf(u)] {
+			next = append(next, u)
+		} else {
+			later = append(later, u)
+		}
+	}
+	return next, later
+}
+
 // stepKey identifies one occurrence of a step.
 type stepKey struct {
 	job              string
