Start overdue units although urgent starts keep the link busy

While more than 200 ms of start requests wait for the link, only the most urgent units start. A stream of them could keep every other unit waiting without a bound. Units that are overdue, of jobs with nothing running or with lasting tasks, now start up to a backlog of 400 ms, before the other less urgent ones. With the old limit for all, the row "overdue while behind" of TestPaceAdmit fails.

--- a/internal/fleet/leader/pace.go
+++ b/internal/fleet/leader/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -23,6 +24,10 @@
 	// and not sent yet before less urgent starts have to wait. Urgent work that
 	// arrives meanwhile is delayed by up to this time.
 	backlogTime = 200 * time.Millisecond
+
+	// overdueBacklogTime is the same for starts of units that should have started
+	// before, so that a burst of urgent starts does not keep them waiting.
+	overdueBacklogTime = 2 * backlogTime
 )
 
 // pacer limits start requests to the rate of the instance's network link. A
@@ -58,28 +63,38 @@
 }
 
 // admit returns the starts that the link can carry soon: all of the highest
-// priority, and others while the backlog stays below backlogTime. backlog is
-// the total size in bytes of the starts that are decided and not sent yet, and
-// size returns the bytes of one start.
-func (p *pacer) admit(starts []plan.Placement, backlog int64, size func(plan.Placement) int64) []plan.Placement {
+// priority, and others while the backlog stays below overdueBacklogTime for the
+// units that are overdue at the time now, and below backlogTime for the rest.
+// backlog is the total size in bytes of the starts that are decided and not sent
+// yet, and size returns the bytes of one start.
+func (p *pacer) admit(starts []plan.Placement, now, backlog int64, size func(plan.Placement) int64) []plan.Placement {
 	if p.bytesPerSecond == 0 {
 		return starts
 	}
-	maxBacklog := linkBytes(p.bytesPerSecond, backlogTime)
-	for _, st := range starts {
-		if st.Unit.Priority == 0 {
-			backlog += size(st)
+	urgency := func(st plan.Placement) int {
+		switch {
+		case st.Unit.Priority == 0:
+			return 0
+		case st.Unit.Overdue(now):
+			return 1
 		}
+		return 2
 	}
-	var out []plan.Placement
-	for _, st := range starts {
-		if st.Unit.Priority > 0 {
-			if backlog >= maxBacklog {
-				continue
+	limits := []int64{math.MaxInt64, linkBytes(p.bytesPerSecond, overdueBacklogTime), linkBytes(p.bytesPerSecond, backlogTime)}
+	admitted := make([]bool, len(starts))
+	for level, limit := range limits {
+		for i, st := range starts {
+			if urgency(st) == level && backlog < limit {
+				admitted[i] = true
+				backlog += size(st)
 			}
-			backlog += size(st)
 		}
-		out = append(out, st)
+	}
+	var out []plan.Placement
+	for i, st := range starts {
+		if admitted[i] {
+			out = append(out, st)
+		}
 	}
 	return out
 }
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -80,7 +80,7 @@
 		}
 		out = plan.Decide(in)
 		planned := out.Placements
-		out.Placements = l.pacer.admit(out.Placements, l.startBacklog(s), func(st plan.Placement) int64 {
+		out.Placements = l.pacer.admit(out.Placements, in.Now, l.startBacklog(s), func(st plan.Placement) int64 {
 			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
 		})
 		l.recordDecisions(out, in)
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -144,6 +144,9 @@
 	}
 	for _, st := range planned {
 		l.noteWait(st.Unit.ID, in.Now, waitPaced)
+		if w := l.waits[st.Unit.ID]; w.roomSince == 0 {
+			w.roomSince = in.Now
+		}
 	}
 	for _, st := range out.Placements {
 		l.noteWait(st.Unit.ID, in.Now, waitNotApplied)
--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -122,8 +122,17 @@
 
 // overdue reports whether there has been room for the unit for longer than
 // MaxChoiceWaitMs, and its start is urgent for its job.
-func (r *round) overdue(u *WaitingUnit) bool {
-	return r.standsStill(u) && u.RoomSince > 0 && r.in.Now-u.RoomSince > MaxChoiceWaitMs
+func (r *round) overdue(u *WaitingUnit) bool { return r.standsStill(u) && u.roomTooLong(r.in.Now) }
+
+// roomTooLong reports whether there has been room for the unit for longer than
+// MaxChoiceWaitMs.
+func (u *WaitingUnit) roomTooLong(now int64) bool {
+	return u.RoomSince > 0 && now-u.RoomSince > MaxChoiceWaitMs
+}
+
+// Overdue reports whether a unit of a placement should have started before.
+func (u *WaitingUnit) Overdue(now int64) bool {
+	return (u.Lasting || u.JobIdle) && u.roomTooLong(now)
 }
 
 // placeOverdue starts an overdue unit on any suitable workers, if need be on
