Count waits by the steady clock of the leader

The planner's time was the instance's time of day. When that jumped back, all waits, for a rack, for workers or before a preemption, became longer by the jump. And the time from which a unit could run was always computed from the state, whose times are those of other instances' clocks; by a clock that is ahead a unit would seem overdue at once and leave its rack.

Waits now count from the leader's start by its steady clock. A unit that becomes ready under this leader counts from when the leader first saw it; only units that waited before the leader's first round count from the times in the state.

--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -129,7 +129,7 @@
 func (l *Leader) recordDecisions(out plan.Output, in plan.Input) {
 	for _, st := range out.Placements {
 		u := st.Unit
-		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: in.Now}
+		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: time.Now().UnixMilli()}
 		for _, id := range st.Workers {
 			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
 		}
@@ -164,7 +164,7 @@
 // feed's lock and l.mu.
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
-	in := plan.Input{Now: now.UnixMilli()}
+	in := plan.Input{Now: l.now()}
 	l.forgetDisplaced()
 	guaranteed := guaranteedJobs(s, cfg)
 	for _, js := range s.Jobs {
@@ -235,6 +235,7 @@
 	runningTasks := make(map[stepKey]map[string]int)
 	ready := make(map[stepKey]bool)
 	idle := l.idle(js)
+	clock := time.Now().UnixMilli()
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -246,7 +247,7 @@
 		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
 			runningTasks[key] = l.tasksPerWorker(js, key)
 		}
-		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
+		if u.Done || u.Active() || clock < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
 			continue
 		}
 		if l.pausing(js, u, in.Now) {
@@ -267,7 +268,7 @@
 		}
 		w := l.waiting(u.ID, in.Now)
 		if w.since == 0 {
-			w.since, w.roomSince = in.Now, couldRunSince(js, u, in.Now)
+			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, in.Now)
 		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -51,6 +52,10 @@
 	loggedCause plan.WaitCause
 }
 
+// now returns the time in Unix ms from which waits are counted. It does not follow
+// the jumps of the instance's clock.
+func (l *Leader) now() int64 { return l.startedAt.Add(time.Since(l.startedAt)).UnixMilli() }
+
 // pausing reports whether the unit still has to pause before its next run. A pause
 // is one of the waits by choice; a task that lasts may pause for longer, because
 // callers expect it back only some seconds later. The end of the last run is
@@ -73,11 +78,25 @@
 	return min(pause, plan.MaxChoiceWaitMs)
 }
 
-// couldRunSince returns the Unix time in ms from which on the unit could run: when
-// its job was accepted, it was due, the steps before it ended and its last run
-// ended, with the pause if its task lasts. The times are those of several
+// couldRunSince returns the Unix time in ms from which on the unit could run. It is
+// the time at which this leader first saw it waiting, with the pause if its task
+// lasts, or the time that follows from the state if the unit waited before this
+// leader's first round. The caller holds l.mu.
+func (l *Leader) couldRunSince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+	switch {
+	case l.round == 0:
+		return readySince(js, u, now)
+	case js.Job.Steps[u.ID.Step].LongRunning:
+		return now
+	}
+	return l.waiting(u.ID, now).began
+}
+
+// readySince returns the Unix time in ms from which on the unit could run by the
+// state: when its job was accepted, it was due, the steps before it ended and its
+// last run ended, with the pause if its task lasts. The times are those of several
 // instances' clocks; the result is at most MaxChoiceWaitMs before now.
-func couldRunSince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+func readySince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
 	since := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence), u.RunEndedAt)
 	step := &js.Job.Steps[u.ID.Step]
 	if step.LongRunning {
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -60,7 +60,7 @@
 }
 
 // Guards against a wait that begins anew with each leader or after a pause, and against one that clocks which differ make longer.
-func TestCouldRunSince(t *testing.T) {
+func TestReadySince(t *testing.T) {
 	const now = 100_000
 	tests := []struct {
 		name   string
@@ -81,7 +81,31 @@
 			is := is.New(t)
 			js := waitingJob(now - 1500)
 			tt.change(js)
-			is.Equal(couldRunSince(js, &js.Units[2*tt.step], now), tt.want)
+			is.Equal(readySince(js, &js.Units[2*tt.step], now), tt.want)
+		})
+	}
+}
+
+// Guards against waits that depend on other instances' clocks for longer than a leader's first round.
+func TestCouldRunSince(t *testing.T) {
+	const now = 100_000
+	tests := []struct {
+		name  string
+		step  int   // of the unit
+		round int64 // in which it is first seen
+		want  int64
+	}{
+		{"waited before this leader", 0, 0, now - 1500},
+		{"seen first by this leader, a second ago", 0, 7, now - 1000},
+		{"lasts, after a pause", 1, 7, now},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			js := waitingJob(now - 1500)
+			u := &js.Units[2*tt.step]
+			l := &Leader{round: tt.round, waits: map[ledger.UnitID]*unitWait{u.ID: {began: now - 1000}}}
+			is.Equal(l.couldRunSince(js, u, now), tt.want)
 		})
 	}
 }
