--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -80,7 +80,7 @@
 		}
 		out = plan.Decide(in)
 		planned := out.Placements
-		out.Placements = l.pacer.admit(out.Placements, l.startBacklog(s), func(st plan.Placement) int64 {
+		out.Placements = l.pacer.admit(out.Placements, in.Now, l.startBacklog(s), func(st plan.Placement) int64 {
 			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
 		})
 		l.recordDecisions(out, in)
@@ -129,16 +129,25 @@
 func (l *Leader) recordDecisions(out plan.Output, in plan.Input) {
 	for _, st := range out.Placements {
 		u := st.Unit
-		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: in.Now}
+		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: time.Now().UnixMilli()}
 		for _, id := range st.Workers {
 			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
 		}
 		l.proposedStarts[u.ID] = start
+		for _, unit := range st.Displaces {
+			delete(l.reservations, unit)
+			l.displaced[u.ID] = append(l.displaced[u.ID], unit)
+		}
 		l.Logger.Info("start", zap.Stringer("unit", u.ID), zap.Int("run", u.Run), zap.Int("priority", u.Priority), zap.Bool("sure", u.Guaranteed),
-			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers))
+			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers), zap.Stringers("displaces", st.Displaces))
 	}
 	until := time.Now().Add(reservationTime)
 	for _, h := range out.Reservations {
+		w := l.waiting(h.Unit, in.Now)
+		if w.reservedSince == 0 {
+			w.reservedSince = in.Now
+		}
+		h.Since = w.reservedSince
 		if h.NonPreemptive {
 			l.Logger.Info("resources reserved as they become free", zap.Stringer("unit", h.Unit), zap.Strings("workers", h.Workers))
 			l.reservations[h.Unit] = reservation{h, until.Add(drainExtraTime)}
@@ -155,7 +164,8 @@
 // feed's lock and l.mu.
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
-	in := plan.Input{Now: now.UnixMilli()}
+	in := plan.Input{Now: l.now()}
+	l.forgetDisplaced()
 	guaranteed := guaranteedJobs(s, cfg)
 	for _, js := range s.Jobs {
 		if !js.Phase.Final() {
@@ -229,6 +239,8 @@
 func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool) {
 	runningTasks := make(map[stepKey]map[string]int)
 	ready := make(map[stepKey]bool)
+	idle := l.idle(js)
+	clock := time.Now().UnixMilli()
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -240,10 +252,10 @@
 		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
 			runningTasks[key] = l.tasksPerWorker(js, key)
 		}
-		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
+		if u.Done || u.Active() || clock < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
 			continue
 		}
-		if in.Now < u.RunEndedAt+u.RetryDelay() {
+		if l.pausing(js, u, in.Now) {
 			l.noteWait(u.ID, in.Now, waitPause)
 			continue
 		}
@@ -261,13 +273,14 @@
 		}
 		w := l.waiting(u.ID, in.Now)
 		if w.since == 0 {
-			w.since = in.Now
+			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, in.Now)
 		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
 			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
+			RoomSince: w.roomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
 		})
 	}
 }
@@ -322,7 +335,7 @@
 			continue
 		}
 		step := &js.Job.Steps[unit.Step]
-		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs))}
+		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs)), Displaces: l.displaced[unit]}
 		for _, n := range runs {
 			f := free[n.worker.id]
 			*f = f.Sub(v.Need)
