--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -40,6 +41,10 @@
 	began int64 // Unix ms at which this leader first saw it waiting for any cause
 	round int64 // number of the last round in which it waited
 
+	roomSince     int64 // see plan.WaitingUnit
+	triedAt       int64 // see plan.WaitingUnit
+	reservedSince int64 // Unix ms since which it has had reservations without a gap; 0 if it has none
+
 	cause plan.WaitCause
 	fits  int
 	width int
@@ -48,6 +53,86 @@
 	loggedCause plan.WaitCause
 }
 
+// now returns the time in Unix ms from which waits are counted. It does not follow
+// the jumps of the instance's clock.
+func (l *Leader) now() int64 { return l.startedAt.Add(time.Since(l.startedAt)).UnixMilli() }
+
+// pausing reports whether the unit still has to pause before its next run. A pause
+// is one of the waits by choice; a task that lasts may pause for longer, because
+// callers expect it back only some seconds later. The end of the last run is
+// another instance's time, so the pause ends at the latest when this leader has
+// seen all of it. The caller holds l.mu.
+func (l *Leader) pausing(js *ledger.JobState, u *ledger.Unit, now int64) bool {
+	pause := pauseOf(js, u)
+	if pause == 0 || now >= u.RunEndedAt+pause {
+		return false
+	}
+	return now < l.waiting(u.ID, now).began+pause
+}
+
+// pauseOf returns the pause in ms from the end of the unit's last run to its next.
+func pauseOf(js *ledger.JobState, u *ledger.Unit) int64 {
+	pause := u.RetryDelay()
+	if js.Job.Steps[u.ID.Step].LongRunning {
+		return pause
+	}
+	return min(pause, plan.MaxChoiceWaitMs)
+}
+
+// couldRunSince returns the Unix time in ms from which on the unit could run. It is
+// the time at which this leader first saw it waiting, with the pause if its task
+// lasts, or the time that follows from the state if the unit waited before this
+// leader's first round. The caller holds l.mu.
+func (l *Leader) couldRunSince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+	switch {
+	case l.round == 0:
+		return readySince(js, u, now)
+	case js.Job.Steps[u.ID.Step].LongRunning:
+		return now
+	}
+	return l.waiting(u.ID, now).began
+}
+
+// readySince returns the Unix time in ms from which on the unit could run by the
+// state: when its job was accepted, it was due, the steps before it ended and its
+// last run ended, with the pause if its task lasts. The times are those of several
+// instances' clocks; the result is at most MaxChoiceWaitMs before now.
+func readySince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+	since := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence), u.RunEndedAt)
+	step := &js.Job.Steps[u.ID.Step]
+	if step.LongRunning {
+		since = max(since, u.RunEndedAt+pauseOf(js, u))
+	}
+	for i := range js.Units {
+		before := &js.Units[i]
+		if before.ID.Occurrence == u.ID.Occurrence && slices.Contains(step.After, before.ID.Step) {
+			since = max(since, before.RunEndedAt)
+		}
+	}
+	return max(min(since, now), now-plan.MaxChoiceWaitMs)
+}
+
+// idle reports whether no unit of the job runs or is about to start. The caller
+// holds l.mu.
+func (l *Leader) idle(js *ledger.JobState) bool {
+	for i := range js.Units {
+		u := &js.Units[i]
+		if _, proposed := l.proposedStarts[u.ID]; proposed || u.Active() {
+			return false
+		}
+	}
+	return true
+}
+
+// forgetDisplaced forgets which reservations ended runs used. The caller holds l.mu.
+func (l *Leader) forgetDisplaced() {
+	for unit := range l.displaced {
+		if _, proposed := l.proposedStarts[unit]; !proposed && len(l.unitRuns[unit]) == 0 {
+			delete(l.displaced, unit)
+		}
+	}
+}
+
 // waiting returns the entry of a unit that waits in this round. The caller holds
 // l.mu.
 func (l *Leader) waiting(unit ledger.UnitID, now int64) *unitWait {
@@ -72,9 +157,16 @@
 	for _, wait := range out.Waits {
 		w := l.waiting(wait.Unit.ID, in.Now)
 		w.cause, w.fits, w.width = wait.Cause, wait.Fits, wait.Unit.Width
+		w.roomSince = wait.RoomSince
+		if wait.Cause != plan.WaitRoundLimit {
+			w.triedAt = in.Now
+		}
 	}
 	for _, st := range planned {
 		l.noteWait(st.Unit.ID, in.Now, waitPaced)
+		if w := l.waits[st.Unit.ID]; w.roomSince == 0 {
+			w.roomSince = in.Now
+		}
 	}
 	for _, st := range out.Placements {
 		l.noteWait(st.Unit.ID, in.Now, waitNotApplied)
@@ -90,6 +182,9 @@
 			delete(l.waits, unit)
 			continue
 		}
+		if _, ok := l.reservations[unit]; !ok {
+			w.reservedSince = 0
+		}
 		if w.dueForLog(now) {
 			due = append(due, unit)
 		}
