Keep track of a resumed run whose loss was stored first

Reports of one worker that are handled at the same time may propose their records in either order. If the record that loses a run again is stored before the one that takes it back, the state has the run and the leader did not: its unit would have stood still until the next leader. The leader now takes such a run over from the state. TestResumeStoredAfterLoss failed before.

--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -167,6 +167,10 @@
 			n.worker.wakeSession()
 		}
 	}
+	if effective && len(l.unitRuns[r.Unit]) == 0 { // a record that loses the run again was stored before
+		js := s.Jobs[r.Unit.Job]
+		l.inheritRuns(js, js.Unit(r.Unit))
+	}
 	l.updateLostOf(s, r.Unit)
 }
 
--- a/internal/fleet/leader/returned_test.go
+++ b/internal/fleet/leader/returned_test.go
@@ -338,6 +338,23 @@
 	is.Equal(s.leader.lateRunEnd(s.run(s.worker, 1)), sent.Add(maxRequestDelay+maxLeaseTime(s.leader.Bounds.Lease)))
 }
 
+// Guards against a unit that never ends, because the record that takes its run back was stored after the one that loses it again.
+func TestResumeStoredAfterLoss(t *testing.T) {
+	is := is.New(t)
+	s := newReturnTest(t, ledger.Step{Count: 1})
+	s.lose()
+	s.report(s.running(1))
+	s.proposeLoss()
+	s.end(1, ledger.WorkerLost)
+	s.resume()
+	is.True(s.run(s.worker, 1) != nil)
+	s.report(s.ended(1, ledger.Stopped))
+	s.end(1, ledger.Stopped)
+	is.True(!s.state.Jobs["a"].Active())
+	is.Equal(s.worker.storedSeq(), uint64(1))
+	is.True(s.run(s.worker, 1) == nil)
+}
+
 // Guards against a worker whose ends are never acknowledged, because the job of a lost run was cancelled before its end was stored.
 func TestEndOfLostRunOfCancelledJob(t *testing.T) {
 	is := is.New(t)
