--- a/internal/fleet/fleettest/checker_test.go
+++ b/internal/fleet/fleettest/checker_test.go
@@ -36,10 +36,12 @@
 		r.Accepted["a"] = time.Now()
 		go b.workers.Run(ctx)
 		play(b)
-		for _, v := range r.Violations {
-			rule, _, _ := strings.Cut(v, ":")
-			violated = append(violated, rule)
-		}
+		b.workers.WithLock(func() {
+			for _, v := range r.Violations {
+				rule, _, _ := strings.Cut(v, ":")
+				violated = append(violated, rule)
+			}
+		})
 	})
 	return violated
 }
