Bound the wait of a start for the network link

A start request waited without a bound for its share of the leader's network link, and its deadline of 2 s was looked at only afterwards. When many requests to workers that do not answer hold the link, a member of a gang waits while the others, which have started, wait for it for 3 s and then end. Found by reading.

The wait now ends with the deadline, and the start is abandoned as after any other delay: at once if nothing was sent. TestStartWaitsForLink fails before.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -35,9 +35,12 @@
 // deliverStart sends a start request until the worker answers or the start is
 // abandoned.
 func (l *Leader) deliverStart(w *worker, n *run, req StartRequest) {
+	ctx, cancel := context.WithDeadline(l.ctx, n.startedAt.Add(startDeadline))
+	defer cancel()
 	for try := 1; l.ctx.Err() == nil; try++ {
-		release, ok := l.pacer.acquire(l.ctx, req.size())
+		release, ok := l.pacer.acquire(ctx, req.size())
 		if !ok {
+			l.startOverdue(w, n)
 			return
 		}
 		finished, pause := l.tryStart(w, n, req, try)
@@ -53,7 +56,7 @@
 // finished, and otherwise how long to wait before the next attempt.
 func (l *Leader) tryStart(w *worker, n *run, req StartRequest, try int) (finished bool, pause time.Duration) {
 	l.mu.Lock()
-	if n.stopping || n.endProposed || n.reported || w.runs[n.key] != n {
+	if !n.mayBeStarted() {
 		l.mu.Unlock()
 		return true, 0
 	}
@@ -160,6 +163,22 @@
 	}
 }
 
+// mayBeStarted reports whether a request to start the run may be sent. The caller
+// holds the lock of the leader.
+func (n *run) mayBeStarted() bool {
+	return !n.stopping && !n.endProposed && !n.reported && n.worker.runs[n.key] == n
+}
+
+// startOverdue abandons a start that waited for the network link until its deadline.
+func (l *Leader) startOverdue(w *worker, n *run) {
+	l.mu.Lock()
+	if l.ctx.Err() != nil || !n.mayBeStarted() {
+		l.mu.Unlock()
+		return
+	}
+	l.abandonStart(w, n)
+}
+
 // abandonStart gives up a start whose request was not answered in time. The
 // stop request makes the worker refuse a start request that arrives late. The
 // caller holds l.mu, and abandonStart releases it.
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -354,3 +354,24 @@
 		time.Sleep(maxSyncWait) // until the sync in flight has ended
 	})
 }
+
+// Guards against a gang of which a member waits for its share of the network link while the others wait for it.
+func TestStartWaitsForLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		starts := 0
+		s := newStartTest(t, WorkerClient{Start: func(context.Context, Target, StartRequest) error { starts++; return nil }})
+		defer s.cancel()
+		s.leader.pacer = newPacer(1_250_000)
+		release, ok := s.leader.pacer.acquire(t.Context(), s.leader.pacer.windowBytes)
+		is.True(ok)
+		go s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		time.Sleep(startDeadline - time.Millisecond)
+		is.True(!s.ended())
+		time.Sleep(2 * time.Millisecond)
+		is.True(s.ended())
+		release()
+		time.Sleep(time.Second)
+		is.Equal(starts, 0)
+	})
+}
