--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -154,14 +154,15 @@
 
 // logDroppedEnd logs a reported end that has no effect: the state does not have the
 // run, or a record of another end is being stored. It is called once for each end
-// that an incarnation reports.
+// that an incarnation reports. A new leader also gets ends that the one before has
+// stored and not acknowledged.
 func (l *Leader) logDroppedEnd(w *worker, t EndedTask, n *run) {
 	level := zap.DebugLevel
 	if t.Outcome == ledger.Done || t.Outcome == ledger.Failed {
 		level = zap.InfoLevel
 	}
 	l.Logger.Log(level, "reported end has no effect", zap.String("worker", w.id), zap.String("job", t.Task.Job), zap.Int("step", t.Task.Step), zap.Int("index", t.Task.Index),
-		zap.Int("occurrence", t.Task.Occurrence), zap.Int("run", t.Run), zap.String("how", string(t.Outcome)), zap.Bool("ending", n != nil))
+		zap.Int("occurrence", t.Task.Occurrence), zap.Int("run", t.Run), zap.String("how", string(t.Outcome)), zap.Bool("ending", n != nil), zap.Duration("led", time.Since(l.startedAt)))
 }
 
 // endRun marks the run as ending and returns the record of its end, which the
