Count the room for a waiting unit at less cost

Naming the cause of a wait made BenchmarkDecide slower by a third to a half (350 workers: 3.0 to 3.1 ms before, 4.8 to 5.4 ms), on a machine that ran other work as well. Workers on which no task fits are now left out before anything is counted, and how many tasks empty workers could hold is only asked for units without room: 3.3 to 3.8 ms.

--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -40,50 +40,67 @@
 // roomCount is the number of tasks of a unit that fit on the workers of its service
 // and label, counted in several ways.
 type roomCount struct {
-	empty   int // if the workers were empty
 	idle    int // on free resources, reserved ones included
+	ample   int // as idle, without the limit of its step
 	free    int // on free resources that are not reserved
 	trusted int // of free, without the workers that the unit avoids
 	allowed int // of trusted, without the workers of other crash suspects
-	ample   int // as idle, without the limit of its step
 }
 
 // countRoom counts the room for the unit.
 func (r *round) countRoom(u *WaitingUnit) roomCount {
 	var c roomCount
 	for _, w := range r.in.Workers {
-		if !suits(u, w) {
+		idle := w.Free.Add(w.reserved)
+		if !idle.Fits(u.Need) || !suits(u, w) {
+			continue
+		}
+		n := idle.MaxTasks(u.Need)
+		c.ample += n
+		c.idle += r.limitPerWorker(u, w, n)
+		if !w.Free.Fits(u.Need) {
 			continue
 		}
-		c.empty += r.limitPerWorker(u, w, w.Total.MaxTasks(u.Need))
-		idle := w.Free.Add(w.reserved).MaxTasks(u.Need)
-		c.idle += r.limitPerWorker(u, w, idle)
-		c.ample += idle
-		free := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need))
-		c.free += free
+		n = r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need))
+		c.free += n
 		if avoids(u, w) {
 			continue
 		}
-		c.trusted += free
+		c.trusted += n
 		if r.eligible(u, w) {
-			c.allowed += free
+			c.allowed += n
 		}
 	}
 	return c
 }
 
-// cause returns what keeps a unit of the width that was not placed.
-func (c roomCount) cause(width int) WaitCause {
+// fitsWhenEmpty reports whether the unit would fit on the suitable workers if they
+// were empty.
+func (r *round) fitsWhenEmpty(u *WaitingUnit) bool {
+	n := 0
+	for _, w := range r.in.Workers {
+		if suits(u, w) {
+			n += r.limitPerWorker(u, w, w.Total.MaxTasks(u.Need))
+		}
+		if n >= u.Width {
+			return true
+		}
+	}
+	return false
+}
+
+// cause returns what keeps a unit that was not placed.
+func (r *round) cause(u *WaitingUnit, c roomCount) WaitCause {
 	switch {
-	case c.empty < width:
+	case c.idle < u.Width && !r.fitsWhenEmpty(u):
 		return WaitNoWorkers
-	case c.idle < width:
+	case c.idle < u.Width:
 		return WaitNoRoom
-	case c.free < width:
+	case c.free < u.Width:
 		return WaitReserved
-	case c.trusted < width:
+	case c.trusted < u.Width:
 		return WaitFailedOn
-	case c.allowed < width:
+	case c.allowed < u.Width:
 		return WaitCrashApart
 	}
 	return WaitRack
@@ -98,7 +115,7 @@
 // wait returns the wait of a unit that the round tried and did not place.
 func (r *round) wait(u *WaitingUnit) Wait {
 	c := r.countRoom(u)
-	w := Wait{Unit: u, Cause: c.cause(u.Width), Fits: c.idle}
+	w := Wait{Unit: u, Cause: r.cause(u, c), Fits: c.idle}
 	switch {
 	case !c.hasRoom(u.Width):
 	case u.RoomSince > 0:
