Keep the bound of a wait over short gaps and held preemptions

Its wait began anew when a gang that failed at once had filled the room for 13 ms, and resources for which work had been stopped gave way only after 2 s, by when the waiting unit had been overdue for a while.

A gap of up to 250 ms without room no longer restarts the wait, and such resources give way after 1 s. The two new rows of TestReadyUnitStartsWithinBound fail with the values of before.

--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -275,7 +275,7 @@
 			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
-			RoomSince: w.roomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
+			RoomSince: w.roomSince, NoRoomSince: w.noRoomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
 		})
 	}
 }
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -41,6 +41,7 @@
 	round int64 // number of the last round in which it waited
 
 	roomSince     int64 // see plan.WaitingUnit
+	noRoomSince   int64 // see plan.WaitingUnit
 	triedAt       int64 // see plan.WaitingUnit
 	reservedSince int64 // Unix ms since which it has had reservations without a gap; 0 if it has none
 
@@ -156,7 +157,7 @@
 	for _, wait := range out.Waits {
 		w := l.waiting(wait.Unit.ID, in.Now)
 		w.cause, w.fits, w.width = wait.Cause, wait.Fits, wait.Unit.Width
-		w.roomSince = wait.RoomSince
+		w.roomSince, w.noRoomSince = wait.RoomSince, wait.NoRoomSince
 		if wait.Cause != plan.WaitRoundLimit {
 			w.triedAt = in.Now
 		}
--- a/internal/fleet/plan/bound_test.go
+++ b/internal/fleet/plan/bound_test.go
@@ -114,7 +114,7 @@
 		if w.Cause != WaitRoundLimit {
 			w.Unit.TriedAt = s.now
 		}
-		w.Unit.RoomSince = w.RoomSince
+		w.Unit.RoomSince, w.Unit.NoRoomSince = w.RoomSince, w.NoRoomSince
 		if c := s.causes[w.Unit.ID]; len(c) == 0 || c[len(c)-1] != w.Cause {
 			s.causes[w.Unit.ID] = append(c, w.Cause)
 		}
@@ -231,6 +231,22 @@
 			}
 			return unit("a", 1, 1, 1)
 		}},
+		{"reserved since shortly before the bound", 2, func(s *simulation) *WaitingUnit {
+			since := s.now + MaxChoiceWaitMs/2
+			s.arrive = func(s *simulation) {
+				hold(s, 0, true, 0, 1)
+				s.reserved[0].Since = min(s.now, since)
+			}
+			return unit("a", 1, 1, 1)
+		}},
+		{"rack busy, the rest full for a moment now and then", 8, func(s *simulation) *WaitingUnit {
+			s.arrive = func(s *simulation) {
+				if s.now%1000 == 0 {
+					s.occupy("moment", 1, 4, 2*simStepMs, 4, 5, 6, 7)
+				}
+			}
+			return nearData(s)
+		}},
 		{"rack busy, the rest reserved", 8, func(s *simulation) *WaitingUnit {
 			hold(s, 1, false, 4, 5, 6, 7)
 			return nearData(s)
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -85,7 +85,8 @@
 	Account      string
 	Priority     int
 	ReadySince   int64     // Unix ms from which on it could start
-	RoomSince    int64     // Unix ms since which it could run and all rounds found room for it, see Wait; 0 if the last one did not
+	RoomSince    int64     // Unix ms since which it could run and all rounds found room for it, but for short gaps; 0 if there is none
+	NoRoomSince  int64     // Unix ms since which rounds have found no room for it; 0 if the last one did
 	TriedAt      int64     // Unix ms of the last round that tried to place it; 0 is never
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -1,6 +1,9 @@
 package plan
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // WaitCause says what keeps a unit from being placed.
 type WaitCause string
@@ -27,14 +30,24 @@
 // start request need the rest.
 const MaxChoiceWaitMs = 2000
 
+// maxRoomGapMs is the longest time without room that does not restart a wait. A run
+// that fails at once, or starts that are cancelled, fill the room for a moment.
+const maxRoomGapMs = 250
+
+// stoppedRoomMs is how long resources for which work was stopped may be reserved
+// before overdue units may use them. Stops take less, unless a worker does not carry
+// them out; the other resources of the reservation are idle meanwhile.
+const stoppedRoomMs = MaxChoiceWaitMs / 2
+
 // Wait is a unit that a round did not place, with what keeps it.
 type Wait struct {
 	Unit  *WaitingUnit
 	Cause WaitCause
 	Fits  int // tasks of the unit that fit on free resources, whatever is reserved or preferred; 0 if it was not tried
 
-	// RoomSince is the unit's RoomSince in the next round.
-	RoomSince int64
+	// RoomSince and NoRoomSince are those of the unit in the next round.
+	RoomSince   int64
+	NoRoomSince int64
 }
 
 // roomCount is the number of tasks of a unit that fit on the workers of its service
@@ -118,17 +131,19 @@
 	w := Wait{Unit: u, Cause: r.cause(u, c), Fits: c.idle}
 	switch {
 	case !c.hasRoom(u.Width):
-	case u.RoomSince > 0:
-		w.RoomSince = u.RoomSince
+		w.NoRoomSince = cmp.Or(u.NoRoomSince, r.in.Now)
+		if r.in.Now-w.NoRoomSince <= maxRoomGapMs {
+			w.RoomSince = u.RoomSince
+		}
 	default:
-		w.RoomSince = r.in.Now
+		w.RoomSince = cmp.Or(u.RoomSince, r.in.Now)
 	}
 	return w
 }
 
 // addUntried adds a unit that the round does not try to place.
 func (r *round) addUntried(u *WaitingUnit, cause WaitCause) {
-	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince})
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince, NoRoomSince: u.NoRoomSince})
 }
 
 // standsStill reports whether the unit's start is urgent for its job: nothing of
@@ -186,10 +201,10 @@
 // runs end may be idle for long until there are enough of them. The unit for which
 // they were reserved gets another reservation, and may preempt the overdue one once
 // it can start then, so that large gangs do not starve. Work was stopped for the
-// other reservations, and they are used at once; they give way only if they have
-// been renewed for longer than an overdue unit has to wait.
+// other reservations, and they are used at once; they give way only after
+// stoppedRoomMs.
 func (r *round) givesWay(h Reservation) bool {
-	return h.NonPreemptive || r.in.Now-h.Since > MaxChoiceWaitMs
+	return h.NonPreemptive || r.in.Now-h.Since > stoppedRoomMs
 }
 
 // lacksResources reports whether the reservation covers more than is free on one
