--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -1,6 +1,9 @@
 package plan
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // WaitCause says what keeps a unit from being placed.
 type WaitCause string
@@ -27,63 +30,90 @@
 // start request need the rest.
 const MaxChoiceWaitMs = 2000
 
+// maxRoomGapMs is the longest time without room that does not restart a wait. A run
+// that fails at once, or starts that are cancelled, fill the room for a moment.
+const maxRoomGapMs = 250
+
+// stoppedRoomMs is how long resources for which work was stopped may be reserved
+// before overdue units may use them. Stops take less, unless a worker does not carry
+// them out; the other resources of the reservation are idle meanwhile.
+const stoppedRoomMs = MaxChoiceWaitMs / 2
+
 // Wait is a unit that a round did not place, with what keeps it.
 type Wait struct {
 	Unit  *WaitingUnit
 	Cause WaitCause
 	Fits  int // tasks of the unit that fit on free resources, whatever is reserved or preferred; 0 if it was not tried
 
-	// RoomSince is the unit's RoomSince in the next round.
-	RoomSince int64
+	// RoomSince and NoRoomSince are those of the unit in the next round.
+	RoomSince   int64
+	NoRoomSince int64
 }
 
 // roomCount is the number of tasks of a unit that fit on the workers of its service
 // and label, counted in several ways.
 type roomCount struct {
-	empty   int // if the workers were empty
 	idle    int // on free resources, reserved ones included
+	ample   int // as idle, without the limit of its step
 	free    int // on free resources that are not reserved
 	trusted int // of free, without the workers that the unit avoids
 	allowed int // of trusted, without the workers of other crash suspects
-	ample   int // as idle, without the limit of its step
 }
 
 // countRoom counts the room for the unit.
 func (r *round) countRoom(u *WaitingUnit) roomCount {
 	var c roomCount
 	for _, w := range r.in.Workers {
-		if !suits(u, w) {
+		idle := w.Free.Add(w.reserved)
+		if !idle.Fits(u.Need) || !suits(u, w) {
+			continue
+		}
+		n := idle.MaxTasks(u.Need)
+		c.ample += n
+		c.idle += r.limitPerWorker(u, w, n)
+		if !w.Free.Fits(u.Need) {
 			continue
 		}
-		c.empty += r.limitPerWorker(u, w, w.Total.MaxTasks(u.Need))
-		idle := w.Free.Add(w.reserved).MaxTasks(u.Need)
-		c.idle += r.limitPerWorker(u, w, idle)
-		c.ample += idle
-		free := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need))
-		c.free += free
+		n = r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need))
+		c.free += n
 		if avoids(u, w) {
 			continue
 		}
-		c.trusted += free
+		c.trusted += n
 		if r.eligible(u, w) {
-			c.allowed += free
+			c.allowed += n
 		}
 	}
 	return c
 }
 
-// cause returns what keeps a unit of the width that was not placed.
-func (c roomCount) cause(width int) WaitCause {
+// fitsWhenEmpty reports whether the unit would fit on the suitable workers if they
+// were empty.
+func (r *round) fitsWhenEmpty(u *WaitingUnit) bool {
+	n := 0
+	for _, w := range r.in.Workers {
+		if suits(u, w) {
+			n += r.limitPerWorker(u, w, w.Total.MaxTasks(u.Need))
+		}
+		if n >= u.Width {
+			return true
+		}
+	}
+	return false
+}
+
+// cause returns what keeps a unit that was not placed.
+func (r *round) cause(u *WaitingUnit, c roomCount) WaitCause {
 	switch {
-	case c.empty < width:
+	case c.idle < u.Width && !r.fitsWhenEmpty(u):
 		return WaitNoWorkers
-	case c.idle < width:
+	case c.idle < u.Width:
 		return WaitNoRoom
-	case c.free < width:
+	case c.free < u.Width:
 		return WaitReserved
-	case c.trusted < width:
+	case c.trusted < u.Width:
 		return WaitFailedOn
-	case c.allowed < width:
+	case c.allowed < u.Width:
 		return WaitCrashApart
 	}
 	return WaitRack
@@ -98,20 +128,22 @@
 // wait returns the wait of a unit that the round tried and did not place.
 func (r *round) wait(u *WaitingUnit) Wait {
 	c := r.countRoom(u)
-	w := Wait{Unit: u, Cause: c.cause(u.Width), Fits: c.idle}
+	w := Wait{Unit: u, Cause: r.cause(u, c), Fits: c.idle}
 	switch {
 	case !c.hasRoom(u.Width):
-	case u.RoomSince > 0:
-		w.RoomSince = u.RoomSince
+		w.NoRoomSince = cmp.Or(u.NoRoomSince, r.in.Now)
+		if r.in.Now-w.NoRoomSince <= maxRoomGapMs {
+			w.RoomSince = u.RoomSince
+		}
 	default:
-		w.RoomSince = r.in.Now
+		w.RoomSince = cmp.Or(u.RoomSince, r.in.Now)
 	}
 	return w
 }
 
 // addUntried adds a unit that the round does not try to place.
 func (r *round) addUntried(u *WaitingUnit, cause WaitCause) {
-	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince})
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince, NoRoomSince: u.NoRoomSince})
 }
 
 // standsStill reports whether the unit's start is urgent for its job: nothing of
@@ -169,10 +201,10 @@
 // runs end may be idle for long until there are enough of them. The unit for which
 // they were reserved gets another reservation, and may preempt the overdue one once
 // it can start then, so that large gangs do not starve. Work was stopped for the
-// other reservations, and they are used at once; they give way only if they have
-// been renewed for longer than an overdue unit has to wait.
+// other reservations, and they are used at once; they give way only after
+// stoppedRoomMs.
 func (r *round) givesWay(h Reservation) bool {
-	return h.NonPreemptive || r.in.Now-h.Since > MaxChoiceWaitMs
+	return h.NonPreemptive || r.in.Now-h.Since > stoppedRoomMs
 }
 
 // lacksResources reports whether the reservation covers more than is free on one
