--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -35,9 +35,12 @@
 // deliverStart sends a start request until the worker answers or the start is
 // abandoned.
 func (l *Leader) deliverStart(w *worker, n *run, req StartRequest) {
+	ctx, cancel := context.WithDeadline(l.ctx, n.startedAt.Add(startDeadline))
+	defer cancel()
 	for try := 1; l.ctx.Err() == nil; try++ {
-		release, ok := l.pacer.acquire(l.ctx, req.size())
+		release, ok := l.pacer.acquire(ctx, req.size())
 		if !ok {
+			l.startOverdue(w, n)
 			return
 		}
 		finished, pause := l.tryStart(w, n, req, try)
@@ -53,7 +56,7 @@
 // finished, and otherwise how long to wait before the next attempt.
 func (l *Leader) tryStart(w *worker, n *run, req StartRequest, try int) (finished bool, pause time.Duration) {
 	l.mu.Lock()
-	if n.stopping || n.endProposed || n.reported || w.runs[n.key] != n {
+	if !n.mayBeStarted() {
 		l.mu.Unlock()
 		return true, 0
 	}
@@ -123,8 +126,12 @@
 	case l.ctx.Err() != nil:
 		return true
 	}
-	if settledBy(err) == settlesNothing {
+	switch {
+	case settledBy(err) == settlesNothing:
 		n.unansweredAt = time.Now()
+	case n.stopping && n.neverStarted() && !n.endProposed:
+		l.cancelStart(w, n, "stopped while the request was not sent")
+		return true
 	}
 	if try == 1 {
 		l.Logger.Info("start request not answered; trying again", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Error(err))
@@ -138,22 +145,40 @@
 func (l *Leader) startRefused(w *worker, n *run, reason Refusal) {
 	switch reason {
 	case RefusedStaleToken:
-		return // the log tells of a newer leader, a report of the worker's new incarnation
+		if !n.stopping {
+			return // the log tells of a newer leader, a report of the worker's new incarnation
+		}
 	case RefusedStaleRun:
-		w.wakeSession() // the next report says how the run ended
+		go l.requestReport(w) // it says how the run ended, or that the worker never had it
 	case RefusedUnhealthy, RefusedIncarnation:
 		w.unhealthyAt = time.Now()
 	}
 	switch {
 	case n.endProposed || n.settled():
 	case n.neverStarted():
-		r := l.endRun(n, ledger.WorkerLost, n.checkpoint, time.Now())
+		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
 		go l.Feed.Propose(l.Epoch, r)
 	default:
 		l.stopUnit(n.unit, "refused, but an earlier request was not answered")
 	}
 }
 
+// mayBeStarted reports whether a request to start the run may be sent. The caller
+// holds the lock of the leader.
+func (n *run) mayBeStarted() bool {
+	return !n.stopping && !n.endProposed && !n.reported && n.worker.runs[n.key] == n
+}
+
+// startOverdue abandons a start that waited for the network link until its deadline.
+func (l *Leader) startOverdue(w *worker, n *run) {
+	l.mu.Lock()
+	if l.ctx.Err() != nil || !n.mayBeStarted() {
+		l.mu.Unlock()
+		return
+	}
+	l.abandonStart(w, n)
+}
+
 // abandonStart gives up a start whose request was not answered in time. The
 // stop request makes the worker refuse a start request that arrives late. The
 // caller holds l.mu, and abandonStart releases it.
@@ -173,15 +198,21 @@
 	n.stopping = true
 	delete(l.unsentStarts, n)
 	if n.neverStarted() {
-		l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.String("cause", cause))
-		r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
-		go l.Feed.Propose(l.Epoch, r)
+		l.cancelStart(w, n, cause)
 		return
 	}
 	l.Logger.Info("stopping run", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
 	go l.deliverStop(w, n)
 }
 
+// cancelStart ends a run that is being stopped and certainly has not started. The
+// caller holds l.mu.
+func (l *Leader) cancelStart(w *worker, n *run, cause string) {
+	l.Logger.Info("start cancelled before the request was sent", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.String("cause", cause))
+	r := l.endRun(n, ledger.Stopped, n.checkpoint, time.Now())
+	go l.Feed.Propose(l.Epoch, r)
+}
+
 // deliverStop stops a run: it sends stop requests until the worker has carried
 // one out, and requests reports until one shows what has become of the run.
 func (l *Leader) deliverStop(w *worker, n *run) {
@@ -220,6 +251,9 @@
 	defer cancel()
 	if err := l.Client.Stop(ctx, t, StopRequest{n.key.task, n.key.run}); settledBy(err) != settlesRun {
 		l.logStopFailed(w, n, err)
+		if !isRefusal(err) {
+			w.wakeSession() // the worker may be gone
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		n.recordStopFailure(w.unresponsive)
@@ -235,14 +269,19 @@
 // logStopFailed logs a stop request that the worker refused or did not answer.
 func (l *Leader) logStopFailed(w *worker, n *run, err error) {
 	fields := []zap.Field{zap.String("worker", w.id), zap.String("job", n.key.task.Job), zap.Int("step", n.key.task.Step), zap.Int("index", n.key.task.Index), zap.Int("run", n.key.run), zap.Error(err)}
-	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if isRefusal(err) {
 		l.Logger.Info("worker refused stop; trying again", fields...)
 		return
 	}
 	l.Logger.Debug("stop request not answered; trying again", fields...)
 }
 
+// isRefusal reports whether the worker answered a request with a refusal.
+func isRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
 // requestReport requests a report at once and reports whether the worker answered.
 // It does so beside the session, whose sync may wait for a run to end.
 func (l *Leader) requestReport(w *worker) bool {
--- a/internal/fleet/leader/deliver_test.go
+++ b/internal/fleet/leader/deliver_test.go
@@ -289,3 +289,89 @@
 		is.Equal(stops.Load(), int32(0))
 	})
 }
+
+// Guards against a unit that waits for a worker that is gone, because its run was stopped while the only request to start it was under way and certainly not sent.
+func TestStopDuringUnsentStart(t *testing.T) {
+	tests := []struct {
+		name      string
+		err       error // of the start request
+		wantEnded bool
+	}{
+		{"no connection", &NotSentError{io.EOF}, true},
+		{"unhealthy", &RefusedError{RefusedUnhealthy}, true},
+		{"newer leader", &RefusedError{RefusedStaleToken}, true},
+		{"no answer", &NoAnswerError{io.EOF}, false},
+		{"accepted", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStartTest(t, WorkerClient{
+					Start: func(context.Context, Target, StartRequest) error {
+						time.Sleep(requestTimeout)
+						return tt.err
+					},
+					Stop: func(context.Context, Target, StopRequest) error { return &NotSentError{io.EOF} },
+					Sync: func(context.Context, Target, SyncRequest) (Report, error) { return Report{}, &NotSentError{io.EOF} },
+				})
+				defer s.cancel()
+				go s.leader.deliverStart(s.worker, s.run, StartRequest{})
+				time.Sleep(requestTimeout / 2)
+				s.stop()
+				is.True(!s.ended())
+				time.Sleep(requestTimeout)
+				is.Equal(s.ended(), tt.wantEnded)
+				time.Sleep(5 * time.Second)
+				is.Equal(s.ended(), tt.wantEnded)
+			})
+		})
+	}
+}
+
+// Guards against a gang that waits for two long polls of a worker that will never run a member, because it refused the run as ended and has no end to report.
+func TestRefusedEndedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStartTest(t, WorkerClient{
+			Start: func(context.Context, Target, StartRequest) error { return &RefusedError{RefusedStaleRun} },
+			Sync: func(_ context.Context, _ Target, req SyncRequest) (Report, error) {
+				time.Sleep(req.MaxWait)
+				return Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "b"}, Run: 1}}}, nil
+			},
+		})
+		other := &run{key: runKey{TaskID{Job: "b"}, 1}, unit: ledger.UnitID{Job: "b"}}
+		s.leader.mu.Lock()
+		s.leader.addRun(s.worker, other)
+		s.worker.leasesEnd = time.Now().Add(maxLeaseTime(s.leader.Bounds.Lease))
+		s.leader.mu.Unlock()
+		go s.leader.runSession(s.worker)
+		time.Sleep(minSyncWait / 2) // the session is in a long poll
+		s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		time.Sleep(minSyncWait / 4)
+		is.True(s.ended())
+		s.cancel()
+		time.Sleep(maxSyncWait) // until the sync in flight has ended
+	})
+}
+
+// Guards against a gang of which a member waits for its share of the network link while the others wait for it.
+func TestStartWaitsForLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		starts := 0
+		s := newStartTest(t, WorkerClient{Start: func(context.Context, Target, StartRequest) error { starts++; return nil }})
+		defer s.cancel()
+		s.leader.pacer = newPacer(1_250_000)
+		release, ok := s.leader.pacer.acquire(t.Context(), s.leader.pacer.windowBytes)
+		is.True(ok)
+		go s.leader.deliverStart(s.worker, s.run, StartRequest{})
+		time.Sleep(startDeadline - time.Millisecond)
+		is.True(!s.ended())
+		time.Sleep(2 * time.Millisecond)
+		is.True(s.ended())
+		release()
+		time.Sleep(time.Second)
+		is.Equal(starts, 0)
+	})
+}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -74,14 +74,17 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		in = l.planInput(s, cfg)
+		defer l.endRound(in.Now)
 		if len(in.Waiting) == 0 {
 			return
 		}
 		out = plan.Decide(in)
-		out.Placements = l.pacer.admit(out.Placements, l.startBacklog(s), func(st plan.Placement) int64 {
+		planned := out.Placements
+		out.Placements = l.pacer.admit(out.Placements, in.Now, l.startBacklog(s), func(st plan.Placement) int64 {
 			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
 		})
 		l.recordDecisions(out, in)
+		l.notePlan(in, out, planned)
 	})
 	var records []ledger.Record
 	for _, st := range out.Placements {
@@ -126,16 +129,25 @@
 func (l *Leader) recordDecisions(out plan.Output, in plan.Input) {
 	for _, st := range out.Placements {
 		u := st.Unit
-		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: in.Now}
+		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: time.Now().UnixMilli()}
 		for _, id := range st.Workers {
 			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
 		}
 		l.proposedStarts[u.ID] = start
+		for _, unit := range st.Displaces {
+			delete(l.reservations, unit)
+			l.displaced[u.ID] = append(l.displaced[u.ID], unit)
+		}
 		l.Logger.Info("start", zap.Stringer("unit", u.ID), zap.Int("run", u.Run), zap.Int("priority", u.Priority), zap.Bool("sure", u.Guaranteed),
-			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers))
+			zap.Int64("waited", in.Now-u.ReadySince), zap.Int("queue", len(in.Waiting)), zap.Strings("workers", st.Workers), zap.Stringers("displaces", st.Displaces))
 	}
 	until := time.Now().Add(reservationTime)
 	for _, h := range out.Reservations {
+		w := l.waiting(h.Unit, in.Now)
+		if w.reservedSince == 0 {
+			w.reservedSince = in.Now
+		}
+		h.Since = w.reservedSince
 		if h.NonPreemptive {
 			l.Logger.Info("resources reserved as they become free", zap.Stringer("unit", h.Unit), zap.Strings("workers", h.Workers))
 			l.reservations[h.Unit] = reservation{h, until.Add(drainExtraTime)}
@@ -152,7 +164,8 @@
 // feed's lock and l.mu.
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
-	in := plan.Input{Now: now.UnixMilli()}
+	in := plan.Input{Now: l.now()}
+	l.forgetDisplaced()
 	guaranteed := guaranteedJobs(s, cfg)
 	for _, js := range s.Jobs {
 		if !js.Phase.Final() {
@@ -160,7 +173,17 @@
 		}
 	}
 	orphaned := l.orphanUnits(s)
-	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool { return orphaned[u.ID] })
+	in.Waiting = slices.DeleteFunc(in.Waiting, func(u *plan.WaitingUnit) bool {
+		switch {
+		case orphaned[u.ID]:
+			l.noteWait(u.ID, in.Now, waitOrphan)
+		case l.runReturned(u.ID):
+			l.noteWait(u.ID, in.Now, waitReturned)
+		default:
+			return false
+		}
+		return true
+	})
 	free := make(map[string]*plan.Resources, len(l.workers))
 	for id, w := range l.workers {
 		total := w.entry.Total
@@ -216,6 +239,8 @@
 func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool) {
 	runningTasks := make(map[stepKey]map[string]int)
 	ready := make(map[stepKey]bool)
+	idle := l.idle(js)
+	clock := time.Now().UnixMilli()
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -227,10 +252,15 @@
 		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
 			runningTasks[key] = l.tasksPerWorker(js, key)
 		}
-		if u.Done || u.Active() || in.Now < js.Job.Due(u.ID.Occurrence)+dueMarginMs || in.Now < u.RunEndedAt+u.RetryDelay() {
+		if u.Done || u.Active() || clock < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
+			continue
+		}
+		if l.pausing(js, u, in.Now) {
+			l.noteWait(u.ID, in.Now, waitPause)
 			continue
 		}
 		if _, ok := l.proposedStarts[u.ID]; ok {
+			l.noteWait(u.ID, in.Now, waitNotApplied)
 			continue
 		}
 		isReady, ok := ready[key]
@@ -241,16 +271,16 @@
 		if !isReady {
 			continue
 		}
-		since, ok := l.waitingSince[u.ID]
-		if !ok {
-			since = in.Now
-			l.waitingSince[u.ID] = since
+		w := l.waiting(u.ID, in.Now)
+		if w.since == 0 {
+			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, in.Now)
 		}
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
-			ReadySince: since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
+			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
+			RoomSince: w.roomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
 		})
 	}
 }
@@ -267,6 +297,11 @@
 		for _, m := range u.Members {
 			out[m.Worker]++
 		}
+		if !u.Active() {
+			for _, n := range l.unitRuns[u.ID] {
+				out[n.worker.id]++
+			}
+		}
 		for _, id := range l.proposedStarts[u.ID].Workers {
 			out[id]++
 		}
@@ -300,7 +335,7 @@
 			continue
 		}
 		step := &js.Job.Steps[unit.Step]
-		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs))}
+		v := &plan.RunningUnit{ID: unit, Priority: js.Job.Priority, Need: taskNeed(step), Guaranteed: guaranteed[js.Job.ID], Workers: make([]string, 0, len(runs)), Displaces: l.displaced[unit]}
 		for _, n := range runs {
 			f := free[n.worker.id]
 			*f = f.Sub(v.Need)
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -60,6 +60,7 @@
 	running   []*RunningUnit // units that are not being stopped, in no order until byStopCost
 	sorted    bool           // running is in the order of byStopCost
 	releasing Resources      // of units that are being stopped
+	reserved  Resources      // subtracted from Free for reservations
 }
 
 // HasLabel reports whether the worker has the label. Every worker has the empty
@@ -84,6 +85,8 @@
 	Account      string
 	Priority     int
 	ReadySince   int64     // Unix ms from which on it could start
+	RoomSince    int64     // Unix ms since which it could run and all rounds found room for it, see Wait; 0 if the last one did not
+	TriedAt      int64     // Unix ms of the last round that tried to place it; 0 is never
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
 	Width        int       // number of tasks
@@ -97,6 +100,10 @@
 	AvoidWorkers []string       // workers on which it failed
 	Guaranteed   bool           // within its account's guarantee
 	CrashSuspect bool           // a worker crashed under it lately, perhaps because of it
+	JobIdle      bool           // no task of its job runs or is about to start
+	Lasting      bool           // its tasks run until the job is cancelled
+
+	anywhere bool // its preferences count no longer, see placeOverdue
 }
 
 // RunningUnit is a unit with a run that has not ended.
@@ -110,6 +117,8 @@
 	Guaranteed  bool      // within its account's guarantee
 	Stopping    bool      // a stop has been requested or the run is ending
 
+	Displaces []ledger.UnitID // units whose reserved resources it uses; they may preempt it
+
 	stopCost  float64         // core-seconds that a stop loses
 	preempted bool            // by this round
 	victimOf  *preemptionPlan // newest plan that chose it
@@ -122,7 +131,8 @@
 	Priority      int // more urgent units may use the resources
 	Need          Resources
 	Workers       []string
-	NonPreemptive bool // nothing is stopped for it: the resources are freed by units that end
+	NonPreemptive bool  // nothing is stopped for it: the resources are freed by units that end
+	Since         int64 // Unix ms since which the unit has had reservations without a gap
 }
 
 // Input is the state on which one round of planning decides.
@@ -136,8 +146,9 @@
 
 // Placement assigns a unit to workers, one for each task.
 type Placement struct {
-	Unit    *WaitingUnit
-	Workers []string
+	Unit      *WaitingUnit
+	Workers   []string
+	Displaces []ledger.UnitID // units whose reserved resources it uses; their reservations are void
 }
 
 // Output holds the decisions of one round.
@@ -145,4 +156,5 @@
 	Placements   []Placement
 	Preemptions  []*RunningUnit // units to stop for the units of Reservations
 	Reservations []Reservation
+	Waits        []Wait // the units without a placement
 }
