Count the room of a step for all its waiting units

When a round cannot place a unit, it does not try the others of the same kind, and these kept the time since which there had been room for them. If there had been no room before, that was zero, so each of them began its wait by choice (2 s) only once the ones before it had started. Lasting tasks that wait for the rack of their data, or for reserved room, then started in groups of four about 2 s apart, though each must not stand still for 3 s. The others now have room since the time at which the round found room for the unit that it tried: the workers, needs and limits of both are the same.

The new test failed before: with eight lasting tasks, an occupied rack and room elsewhere, four started 2050 ms after the room was free and four only after 4100 to 4150 ms. Now all start after 2050 ms.

--- a/internal/fleet/plan/bound_test.go
+++ b/internal/fleet/plan/bound_test.go
@@ -400,3 +400,30 @@
 	is.Equal(len(out.Placements), 1)
 	is.Equal(out.Placements[0].Unit.ID.Job, "holder")
 }
+
+// Guards against lasting tasks of one step that start one after the other, each after the whole wait by choice, once there is room for all of them.
+func TestLastingUnitsOfStepStartTogether(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8)
+	s.now = 10_000
+	s.occupy("data", 1, 4, 60_000, 0, 1, 2, 3)
+	s.occupy("elsewhere", 1, 4, 3000, 4, 5, 6, 7)
+	var units []*WaitingUnit
+	for i := range 8 {
+		u := unit("a", 1, 1, 1)
+		u.ID.Index, u.Lasting, u.Rack, u.EstimateMs = i, true, "r0", 60_000
+		units = append(units, u)
+		s.submit(u)
+	}
+	room := s.now + 3000
+	for s.now < room+20_000 && len(s.waiting) > 0 {
+		s.step()
+	}
+	for _, u := range units {
+		t.Log(u.ID, "started after", s.started[u.ID]-room)
+	}
+	for _, u := range units {
+		is.True(s.started[u.ID] > 0)
+		is.True(s.started[u.ID]-room <= MaxChoiceWaitMs+2*simStepMs)
+	}
+}
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -58,7 +58,7 @@
 
 	pending     []Reservation     // not subtracted yet, by priority
 	subtracted  []Reservation     // of in.Reservations
-	unplaceable map[unitKind]bool // kinds of a unit that could not be placed
+	unplaceable map[unitKind]Wait // kinds of a unit that could not be placed, with its wait
 	started     map[string]bool   // jobs with placements
 
 	indexed       bool                      // the running units are listed by worker
@@ -77,7 +77,7 @@
 		racks:    make(map[string][]*Worker),
 		reserved: make(map[ledger.UnitID]Reservation),
 
-		unplaceable: make(map[unitKind]bool),
+		unplaceable: make(map[unitKind]Wait),
 		started:     make(map[string]bool),
 	}
 	for _, w := range in.Workers {
@@ -106,7 +106,7 @@
 	next, later := nextTurn(rest)
 	later = append(r.placeInOrder(next, maxTurnAttempts), later...)
 	for _, u := range later {
-		r.addUntried(u, WaitRoundLimit)
+		r.addUntried(u)
 	}
 	return r.out
 }
@@ -117,8 +117,9 @@
 	for i, u := range units {
 		r.subtractReservations(u.Priority)
 		kind := r.kindOf(u)
-		if _, reserved := r.reserved[u.ID]; r.unplaceable[kind] && !reserved {
-			r.addUntried(u, WaitStep)
+		tried, unplaceable := r.unplaceable[kind]
+		if _, reserved := r.reserved[u.ID]; unplaceable && !reserved {
+			r.addOfStep(u, tried)
 			continue
 		}
 		if attempts == 0 {
@@ -126,7 +127,7 @@
 		}
 		attempts--
 		if !r.place(u) {
-			r.unplaceable[kind] = true
+			r.unplaceable[kind] = r.out.Waits[len(r.out.Waits)-1]
 		}
 	}
 	return nil
--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -98,20 +98,29 @@
 // wait returns the wait of a unit that the round tried and did not place.
 func (r *round) wait(u *WaitingUnit) Wait {
 	c := r.countRoom(u)
-	w := Wait{Unit: u, Cause: c.cause(u.Width), Fits: c.idle}
+	return Wait{Unit: u, Cause: c.cause(u.Width), Fits: c.idle, RoomSince: r.roomSince(u, c.hasRoom(u.Width))}
+}
+
+// roomSince returns the unit's RoomSince in the next round.
+func (r *round) roomSince(u *WaitingUnit, hasRoom bool) int64 {
 	switch {
-	case !c.hasRoom(u.Width):
+	case !hasRoom:
+		return 0
 	case u.RoomSince > 0:
-		w.RoomSince = u.RoomSince
-	default:
-		w.RoomSince = r.in.Now
+		return u.RoomSince
 	}
-	return w
+	return r.in.Now
+}
+
+// addOfStep adds a unit that the round does not try to place because it could not
+// place one of the same kind. There is room for the one if there is for the other.
+func (r *round) addOfStep(u *WaitingUnit, tried Wait) {
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: WaitStep, RoomSince: r.roomSince(u, tried.RoomSince > 0)})
 }
 
-// addUntried adds a unit that the round does not try to place.
-func (r *round) addUntried(u *WaitingUnit, cause WaitCause) {
-	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince})
+// addUntried adds a unit for which the round has no time.
+func (r *round) addUntried(u *WaitingUnit) {
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: WaitRoundLimit, RoomSince: u.RoomSince})
 }
 
 // standsStill reports whether the unit's start is urgent for its job: nothing of
