Do not count runs that are being stopped as running in the bound of waits

The bound of waits by choice (2 s) holds only for jobs of which nothing runs. A unit with a stopped run counted as running until its end was known, which takes up to 21 s on a worker that does not answer and may still carry out a start request. Meanwhile other tasks of the job that were ready went on waiting for a rack or for reserved room, and the job stood still. Runs that are being stopped, or whose end is being stored, no longer count.

Found by reading. The rows 'being stopped' and 'end not stored' of the new test failed before.

--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -112,18 +112,23 @@
 	return max(min(since, now), now-plan.MaxChoiceWaitMs)
 }
 
-// idle reports whether no unit of the job runs or is about to start. The caller
+// idle reports whether no unit of the job runs or is about to start. A run that is
+// being stopped does not count: its end may be known only much later. The caller
 // holds l.mu.
 func (l *Leader) idle(js *ledger.JobState) bool {
 	for i := range js.Units {
-		u := &js.Units[i]
-		if _, proposed := l.proposedStarts[u.ID]; proposed || u.Active() {
+		unit := js.Units[i].ID
+		if _, proposed := l.proposedStarts[unit]; proposed || slices.ContainsFunc(l.unitRuns[unit], (*run).goesOn) {
 			return false
 		}
 	}
 	return true
 }
 
+// goesOn reports whether the run is neither ending nor being stopped. The caller
+// holds the lock of the leader.
+func (n *run) goesOn() bool { return !n.stopping && !n.endProposed }
+
 // forgetDisplaced forgets which reservations ended runs used. The caller holds l.mu.
 func (l *Leader) forgetDisplaced() {
 	for unit := range l.displaced {
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -142,3 +142,29 @@
 		})
 	}
 }
+
+// Guards against a job of which nothing runs and whose other tasks wait by choice, because a run that was stopped is not known to have ended.
+func TestIdleJob(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *returnTest)
+		want   bool
+	}{
+		{"running", func(*returnTest) {}, false},
+		{"being stopped", func(s *returnTest) { s.leader.stopUnit(returnUnit, "gang broken") }, true},
+		{"end not stored", func(s *returnTest) { s.run(s.worker, 1).endProposed = true }, true},
+		{"lost", func(s *returnTest) { s.lose() }, true},
+		{"start not stored", func(s *returnTest) {
+			s.lose()
+			s.leader.proposedStarts[returnUnit] = ledger.Start{Workers: []string{"v"}}
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newReturnTest(t, ledger.Step{Count: 1})
+			tt.change(s)
+			is.Equal(s.leader.idle(s.state.Jobs["a"]), tt.want)
+		})
+	}
+}
