Renew no lease for a lost run until its return is stored

A leader that takes a lost run back renews its lease at once, while the record that does so may still be on its way to the log. If that leader is cut off from the log together with the worker, it renews the lease for up to 10 s more. The next leader knows the run only as lost and the worker does not answer it, so it starts the unit elsewhere beside that run. The same holds for a run whose loss is being stored when its worker reports it.

Such runs no longer keep the lease of their worker. They have what is left of the lease from before the loss, which is far longer than an append.

--- a/internal/fleet/instance/returned_test.go
+++ b/internal/fleet/instance/returned_test.go
@@ -180,3 +180,27 @@
 		h.c.workers.WithLock(func() { h.c.workers.FailureRate = 0.1 })
 	}
 }
+
+// Guards against a second run beside a lost run that was taken back by a leader that is cut off from the log, so that the next leader does not know of it.
+func TestLostRunReturnsToCutOffLeader(t *testing.T) {
+	is := is.New(t)
+	r := runCluster(t, 1, 3, 3, func(c *cluster) {
+		time.Sleep(8 * time.Second)
+		for i := range 3 {
+			j := job(fmt.Sprint("a", i), ledger.Step{Count: 1, GPU: 8, Estimate: 8000})
+			j.Priority = 1
+			is.True(c.submit(c.nodes[0], j))
+		}
+		time.Sleep(time.Second)
+		first := slices.Index(c.nodes, c.leader())
+		id := fmt.Sprintf("w%d", first)
+		c.vanish(id, true)
+		time.Sleep(3500 * time.Millisecond)
+		c.vanish(id, false)
+		c.cutDomain(first, true)
+		time.Sleep(10 * time.Second)
+		c.cutDomain(first, false)
+		is.Equal(len(c.waitFinished([]string{"a0", "a1", "a2"}, 30*time.Second)), 0)
+	})
+	is.Equal(r.Violations, nil)
+}
--- a/internal/fleet/leader/session.go
+++ b/internal/fleet/leader/session.go
@@ -108,7 +108,7 @@
 	t := l.target(w)
 	req := SyncRequest{Ack: w.safeAck(time.Now())}
 	if w.contacted && answered && w.busy() {
-		if mayRenew && len(w.runs) > 0 && !w.unstoppable {
+		if mayRenew && w.mayRenew() && !w.unstoppable {
 			req.LeaseEnd = w.extendLease(l.Bounds.Lease)
 		}
 		if !w.hasUnstoredEnds() {
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -111,6 +111,18 @@
 // busy reports whether runs are, or may be, on the worker.
 func (w *worker) busy() bool { return len(w.runs) > 0 || len(w.orphans) > 0 }
 
+// mayRenew reports whether the worker has a run whose lease may be renewed. That of a
+// lost run may not until its return is stored: the next leader would not know that
+// the run goes on.
+func (w *worker) mayRenew() bool {
+	for _, n := range w.runs {
+		if n.lossCause == "" && !n.resuming {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && !w.entry.Unreadable && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 && !w.unstoppable &&
