Let a displaced gang preempt overdue units while it has a reservation

An overdue unit may use resources that are reserved for a unit that waits for others to end. That unit may preempt it once it can start then, so that gangs do not starve. But it gets another reservation in the next round, and a unit with such a reservation preempted nothing unless its rack was busy. It waited for the reservation to expire, after 10 s, or to be displaced again. It may now preempt if a running unit uses what was reserved for it.

In the new test five tasks of 60 s arrive after a gang has its reservation.

--- a/internal/fleet/plan/bound_test.go
+++ b/internal/fleet/plan/bound_test.go
@@ -427,3 +427,26 @@
 		is.True(s.started[u.ID]-room <= MaxChoiceWaitMs+2*simStepMs)
 	}
 }
+
+// Guards against a gang that waits for its reservation to expire although it could start if it preempted the units that use what was reserved for it.
+func TestDisplacedGangPreemptsOverdueUnits(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8)
+	s.now = 10_000
+	for i := range 8 {
+		s.occupy("before", 1, 1, 1000+700*int64(i), i)
+	}
+	s.arrive = func(s *simulation) {
+		if s.now > 11_600 && s.now <= 13_000 { // after the gang has a reservation
+			arriveEvery(300, 60_000)(s)
+		}
+	}
+	gang := unit("gang", 1, 32, 1)
+	s.submit(gang)
+	for s.started[gang.ID] == 0 && s.now < 70_000 {
+		s.step()
+	}
+	t.Log("gang started after", s.started[gang.ID]-gang.ReadySince)
+	is.True(s.started[gang.ID] > 0)
+	is.True(s.started[gang.ID]-gang.ReadySince < 7000) // the last of the earlier runs ends after 5.9 s
+}
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -56,10 +56,11 @@
 	reserved  map[ledger.UnitID]Reservation // at the start of the round
 	out       Output
 
-	pending     []Reservation     // not subtracted yet, by priority
-	subtracted  []Reservation     // of in.Reservations
-	unplaceable map[unitKind]Wait // kinds of a unit that could not be placed, with its wait
-	started     map[string]bool   // jobs with placements
+	pending     []Reservation          // not subtracted yet, by priority
+	subtracted  []Reservation          // of in.Reservations
+	unplaceable map[unitKind]Wait      // kinds of a unit that could not be placed, with its wait
+	started     map[string]bool        // jobs with placements
+	displaced   map[ledger.UnitID]bool // units whose reserved resources a running unit uses
 
 	indexed       bool                      // the running units are listed by worker
 	byRemaining   map[string][]*RunningUnit // running units by worker, the first to end first; nil until needed
@@ -79,6 +80,12 @@
 
 		unplaceable: make(map[unitKind]Wait),
 		started:     make(map[string]bool),
+		displaced:   make(map[ledger.UnitID]bool),
+	}
+	for _, v := range in.Running {
+		for _, unit := range v.Displaces {
+			r.displaced[unit] = true
+		}
 	}
 	for _, w := range in.Workers {
 		r.workers[w.ID] = w
@@ -284,8 +291,9 @@
 	waited := r.in.Now - u.ReadySince
 	mayPreempt := u.Priority == 0 || waited > preemptWaitMs
 	if reserved {
-		// Runs may not end as estimated; the rack is still worth a preemption.
-		mayPreempt = mayPreempt && h.NonPreemptive && wait.Cause == WaitRack
+		// Runs may not end as estimated; the rack is still worth a preemption, and so
+		// are the resources that were given to overdue units.
+		mayPreempt = mayPreempt && h.NonPreemptive && (wait.Cause == WaitRack || r.displaced[u.ID])
 	}
 	if mayPreempt && r.preempt(u) {
 		return true
