--- a/internal/fleet/instance/returned_test.go
+++ b/internal/fleet/instance/returned_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
