--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -129,21 +129,34 @@
 func (r *round) wait(u *WaitingUnit) Wait {
 	c := r.countRoom(u)
 	w := Wait{Unit: u, Cause: r.cause(u, c), Fits: c.idle}
-	switch {
-	case !c.hasRoom(u.Width):
-		w.NoRoomSince = cmp.Or(u.NoRoomSince, r.in.Now)
-		if r.in.Now-w.NoRoomSince <= maxRoomGapMs {
-			w.RoomSince = u.RoomSince
-		}
-	default:
+	r.trackRoom(&w, c.hasRoom(u.Width))
+	return w
+}
+
+// trackRoom sets since when there has been room for the unit of the wait, or none.
+func (r *round) trackRoom(w *Wait, hasRoom bool) {
+	u := w.Unit
+	if hasRoom {
 		w.RoomSince = cmp.Or(u.RoomSince, r.in.Now)
+		return
 	}
-	return w
+	w.NoRoomSince = cmp.Or(u.NoRoomSince, r.in.Now)
+	if r.in.Now-w.NoRoomSince <= maxRoomGapMs {
+		w.RoomSince = u.RoomSince
+	}
+}
+
+// addOfStep adds a unit that the round does not try to place because it could not
+// place one of the same kind. There is room for the one if there is for the other.
+func (r *round) addOfStep(u *WaitingUnit, tried Wait) {
+	w := Wait{Unit: u, Cause: WaitStep}
+	r.trackRoom(&w, tried.NoRoomSince == 0)
+	r.out.Waits = append(r.out.Waits, w)
 }
 
-// addUntried adds a unit that the round does not try to place.
-func (r *round) addUntried(u *WaitingUnit, cause WaitCause) {
-	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: cause, RoomSince: u.RoomSince, NoRoomSince: u.NoRoomSince})
+// addUntried adds a unit for which the round has no time.
+func (r *round) addUntried(u *WaitingUnit) {
+	r.out.Waits = append(r.out.Waits, Wait{Unit: u, Cause: WaitRoundLimit, RoomSince: u.RoomSince, NoRoomSince: u.NoRoomSince})
 }
 
 // standsStill reports whether the unit's start is urgent for its job: nothing of
