Count the syncs of a session's test without a data race

The race detector reported TestFailedRequestsDoNotPostponeSync: the session counts syncs while the test reads the count. The check is unchanged.

--- a/internal/fleet/leader/session_test.go
+++ b/internal/fleet/leader/session_test.go
@@ -95,10 +95,10 @@
 func TestFailedRequestsDoNotPostponeSync(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		syncs := 0
+		var syncs atomic.Int32
 		s := newStartTest(t, WorkerClient{
 			Sync: func(context.Context, Target, SyncRequest) (Report, error) {
-				syncs++
+				syncs.Add(1)
 				return Report{}, errRefusedConn
 			},
 		})
@@ -108,6 +108,6 @@
 			time.Sleep(syncRetryDelay / 5)
 			s.worker.wakeSession()
 		}
-		is.True(syncs >= 19)
+		is.True(syncs.Load() >= 19)
 	})
 }
