--- a/internal/fleet/plan/bound_test.go
+++ b/internal/fleet/plan/bound_test.go
@@ -114,7 +114,7 @@
 		if w.Cause != WaitRoundLimit {
 			w.Unit.TriedAt = s.now
 		}
-		w.Unit.RoomSince = w.RoomSince
+		w.Unit.RoomSince, w.Unit.NoRoomSince = w.RoomSince, w.NoRoomSince
 		if c := s.causes[w.Unit.ID]; len(c) == 0 || c[len(c)-1] != w.Cause {
 			s.causes[w.Unit.ID] = append(c, w.Cause)
 		}
@@ -231,6 +231,22 @@
 			}
 			return unit("a", 1, 1, 1)
 		}},
+		{"reserved since shortly before the bound", 2, func(s *simulation) *WaitingUnit {
+			since := s.now + MaxChoiceWaitMs/2
+			s.arrive = func(s *simulation) {
+				hold(s, 0, true, 0, 1)
+				s.reserved[0].Since = min(s.now, since)
+			}
+			return unit("a", 1, 1, 1)
+		}},
+		{"rack busy, the rest full for a moment now and then", 8, func(s *simulation) *WaitingUnit {
+			s.arrive = func(s *simulation) {
+				if s.now%1000 == 0 {
+					s.occupy("moment", 1, 4, 2*simStepMs, 4, 5, 6, 7)
+				}
+			}
+			return nearData(s)
+		}},
 		{"rack busy, the rest reserved", 8, func(s *simulation) *WaitingUnit {
 			hold(s, 1, false, 4, 5, 6, 7)
 			return nearData(s)
@@ -400,3 +416,53 @@
 	is.Equal(len(out.Placements), 1)
 	is.Equal(out.Placements[0].Unit.ID.Job, "holder")
 }
+
+// Guards against lasting tasks of one step that start one after the other, each after the whole wait by choice, once there is room for all of them.
+func TestLastingUnitsOfStepStartTogether(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8)
+	s.now = 10_000
+	s.occupy("data", 1, 4, 60_000, 0, 1, 2, 3)
+	s.occupy("elsewhere", 1, 4, 3000, 4, 5, 6, 7)
+	var units []*WaitingUnit
+	for i := range 8 {
+		u := unit("a", 1, 1, 1)
+		u.ID.Index, u.Lasting, u.Rack, u.EstimateMs = i, true, "r0", 60_000
+		units = append(units, u)
+		s.submit(u)
+	}
+	room := s.now + 3000
+	for s.now < room+20_000 && len(s.waiting) > 0 {
+		s.step()
+	}
+	for _, u := range units {
+		t.Log(u.ID, "started after", s.started[u.ID]-room)
+	}
+	for _, u := range units {
+		is.True(s.started[u.ID] > 0)
+		is.True(s.started[u.ID]-room <= MaxChoiceWaitMs+2*simStepMs)
+	}
+}
+
+// Guards against a gang that waits for its reservation to expire although it could start if it preempted the units that use what was reserved for it.
+func TestDisplacedGangPreemptsOverdueUnits(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8)
+	s.now = 10_000
+	for i := range 8 {
+		s.occupy("before", 1, 1, 1000+700*int64(i), i)
+	}
+	s.arrive = func(s *simulation) {
+		if s.now > 11_600 && s.now <= 13_000 { // after the gang has a reservation
+			arriveEvery(300, 60_000)(s)
+		}
+	}
+	gang := unit("gang", 1, 32, 1)
+	s.submit(gang)
+	for s.started[gang.ID] == 0 && s.now < 70_000 {
+		s.step()
+	}
+	t.Log("gang started after", s.started[gang.ID]-gang.ReadySince)
+	is.True(s.started[gang.ID] > 0)
+	is.True(s.started[gang.ID]-gang.ReadySince < 7000) // the last of the earlier runs ends after 5.9 s
+}
