Stop a gang that was reported while its loss was being stored

A worker came back and reported the runs of a gang as running while the records that count them as lost were on their way to the log. Such a run of a single task is taken back when its loss is stored; a gang cannot be, and its runs became orphans only with the worker's next report. In between the gang was planned again, on the same worker, beside its members (TWICE). They are orphan runs now as soon as the loss is stored, so the gang waits for their end.

TestGangReturnsBeforeLossIsStored found one waiting unit before.

--- a/internal/fleet/leader/orphan.go
+++ b/internal/fleet/leader/orphan.go
@@ -26,14 +26,19 @@
 		if w.orphans[key] != nil {
 			continue
 		}
-		n := &run{key: key, worker: w}
-		n.settle()
-		w.orphans[key] = n
-		found = append(found, n)
+		found = append(found, w.addOrphan(key))
 	}
 	return found
 }
 
+// addOrphan adds an orphan run that the worker has reported as running.
+func (w *worker) addOrphan(key runKey) *run {
+	n := &run{key: key, worker: w}
+	n.settle()
+	w.orphans[key] = n
+	return n
+}
+
 // logOrphan logs an orphan run that was found, and how it was lost if that is known.
 // The caller holds l.mu.
 func (l *Leader) logOrphan(w *worker, n *run) {
--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -300,18 +300,25 @@
 	return r != nil && r.endProposed
 }
 
-// applyLoss notes why a run was lost, and takes it back if its worker has reported
-// it meanwhile. The caller holds the feed's lock and l.mu.
+// applyLoss notes why a run was lost. If its worker has reported it as running
+// meanwhile, it is taken back or else stopped as an orphan run. The caller holds the
+// feed's lock and l.mu.
 func (l *Leader) applyLoss(n *run) {
 	r := l.findLost(n.worker, n.key)
-	if r == nil {
-		return
+	if r != nil {
+		r.cause, r.startedAt, r.proof, r.stopped = n.lossCause, n.startedAt, n.proof, n.stopping
 	}
-	r.cause, r.startedAt, r.proof, r.stopped = n.lossCause, n.startedAt, n.proof, n.stopping
-	if !n.returned {
+	if !n.returned || n.incarnation != n.worker.incarnation || r != nil && r.endProposed {
 		return
 	}
 	if _, records := l.resumeReported(n.worker, n.key, n.worker.incarnation); len(records) > 0 {
 		l.Feed.ProposeLocked(l.Epoch, records...)
+		return
+	}
+	if n.worker.orphans[n.key] != nil {
+		return
 	}
+	orphan := n.worker.addOrphan(n.key)
+	l.logOrphan(n.worker, orphan)
+	go l.deliverStop(n.worker, orphan)
 }
--- a/internal/fleet/leader/returned_test.go
+++ b/internal/fleet/leader/returned_test.go
@@ -266,6 +266,19 @@
 	})
 }
 
+// Guards against starting a gang on a worker that has reported its run while the loss was being stored, and still runs it.
+func TestGangReturnsBeforeLossIsStored(t *testing.T) {
+	is := is.New(t)
+	s := newReturnTest(t, ledger.Step{Count: 1, Gang: true})
+	s.proposeLoss()
+	s.report(s.running(1))
+	s.end(1, ledger.WorkerLost)
+	is.Equal(s.waiting(), 0)
+	s.report(s.ended(1, ledger.Stopped))
+	s.end(1, ledger.Stopped)
+	is.Equal(s.waiting(), 1)
+}
+
 // Guards against a leader that forgets the lost runs of the leader before.
 func TestInheritedLostRun(t *testing.T) {
 	is := is.New(t)
