--- /dev/null
+++ b/internal/fleet/plan/choose.go
@@ -0,0 +1,168 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+)
+
+// chooseWorkers returns workers with enough free resources for all tasks of the
+// unit, or nil.
+func (r *round) chooseWorkers(u *WaitingUnit) []string {
+	if u.Rack != "" {
+		if ws := r.pack(u, r.racks[u.Rack]); ws != nil {
+			return ws
+		}
+		if !r.mayLeaveRack(u, r.racks[u.Rack]) {
+			return nil
+		}
+	}
+	if u.SameRack && u.Width > 1 {
+		best, possible := r.packOneRack(u)
+		if best != nil {
+			return best
+		}
+		if possible && !r.rackWaitOver(u) {
+			return nil
+		}
+	}
+	return r.pack(u, r.in.Workers)
+}
+
+// packOneRack returns workers of the rack in which the unit leaves the fewest
+// free resources, or nil if it fits into no rack now. It also reports whether
+// any rack could hold the unit if the rack's workers were empty.
+func (r *round) packOneRack(u *WaitingUnit) (best []string, possible bool) {
+	least := 0
+	for _, name := range r.rackNames {
+		ws := r.racks[name]
+		if r.capacity(u, ws, true) < u.Width {
+			continue
+		}
+		possible = true
+		left := r.capacity(u, ws, false) - u.Width
+		if left < 0 || (best != nil && left >= least) {
+			continue
+		}
+		if p := r.pack(u, ws); p != nil {
+			best, least = p, left
+		}
+	}
+	return best, possible
+}
+
+// mayLeaveRack reports whether the unit may run outside the rack of its data.
+func (r *round) mayLeaveRack(u *WaitingUnit, near []*Worker) bool {
+	if len(near) == 0 || r.capacity(u, near, true) < u.Width {
+		return true
+	}
+	return r.rackWaitOver(u)
+}
+
+// rackWaitOver reports whether the unit has waited for a rack for as long as
+// this pays off.
+func (r *round) rackWaitOver(u *WaitingUnit) bool {
+	wait := (remoteRackSlowdown - 1) * u.EstimateMs
+	if u.Guaranteed {
+		wait = min(wait, guaranteedRackWaitMs)
+	}
+	return u.anywhere || r.in.Now-u.ReadySince > wait
+}
+
+// capacity returns how many tasks of the unit fit on the workers: on their
+// total resources if empty is set, else on the free ones.
+func (r *round) capacity(u *WaitingUnit, workers []*Worker, empty bool) int {
+	n := 0
+	for _, w := range workers {
+		if !r.eligible(u, w) {
+			continue
+		}
+		resources := w.Free
+		if empty {
+			resources = w.Total
+		}
+		n += r.limitPerWorker(u, w, resources.MaxTasks(u.Need))
+	}
+	return n
+}
+
+// limitPerWorker lowers a count of the unit's tasks on a worker to what the
+// limit of its step leaves.
+func (r *round) limitPerWorker(u *WaitingUnit, w *Worker, n int) int {
+	if u.MaxPerWorker > 0 {
+		n = min(n, u.MaxPerWorker-u.RunningTasks[w.ID])
+	}
+	return max(n, 0)
+}
+
+// eligible reports whether the unit may run on the worker at all.
+func (r *round) eligible(u *WaitingUnit, w *Worker) bool {
+	if w.Watched && r.staysApart(u) {
+		return false
+	}
+	return suits(u, w) && !avoids(u, w)
+}
+
+// staysApart reports whether the unit waits for workers without crash suspects.
+func (r *round) staysApart(u *WaitingUnit) bool {
+	return u.CrashSuspect && !u.anywhere && r.in.Now-u.ReadySince <= crashApartMs
+}
+
+// suits reports whether the worker has the service and the label of the unit.
+func suits(u *WaitingUnit, w *Worker) bool { return w.Service == u.Service && w.HasLabel(u.Label) }
+
+// avoids reports whether the unit avoids the worker because it failed there.
+func avoids(u *WaitingUnit, w *Worker) bool { return slices.Contains(u.AvoidWorkers, w.ID) }
+
+// pack returns a worker for each task, or nil if not all tasks fit. It fills
+// the workers with the fewest free resources first (best fit), so that large
+// free blocks stay whole. Suspect workers come last. A unit that may crash its
+// workers gets the emptiest ones instead.
+func (r *round) pack(u *WaitingUnit, workers []*Worker) []string {
+	fit := r.fit[:0]
+	defer func() { r.fit = fit }()
+	total := 0
+	for _, w := range workers {
+		if !r.eligible(u, w) || !w.Free.Fits(u.Need) {
+			continue
+		}
+		if n := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need)); n > 0 {
+			total += n
+			fit = append(fit, w)
+		}
+	}
+	if total < u.Width {
+		return nil
+	}
+	slices.SortStableFunc(fit, func(a, b *Worker) int {
+		lastResort := compareBool(a.Suspect || a.Watched, b.Suspect || b.Watched)
+		if u.CrashSuspect {
+			return cmp.Or(lastResort, cmp.Compare(b.Free.GPU, a.Free.GPU), cmp.Compare(b.Free.CPU, a.Free.CPU))
+		}
+		return cmp.Or(
+			lastResort,
+			cmp.Compare(a.Free.GPU-u.Need.GPU, b.Free.GPU-u.Need.GPU),
+			cmp.Compare(a.Free.CPU, b.Free.CPU),
+		)
+	})
+	out := make([]string, 0, u.Width)
+	for _, w := range fit {
+		for n := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need)); n > 0 && len(out) < u.Width; n-- {
+			out = append(out, w.ID)
+		}
+		if len(out) == u.Width {
+			return out
+		}
+	}
+	return nil
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
