Count the workers that the planner leaves out in the log of waiting units

A review of the incident found that 'unit waits cause=no room' did not tell a full service from one of which many workers are left out. The line has the number of usable workers now, and the others by reason. The conditions are those of before, with a name each.

--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -203,8 +203,10 @@
 	slices.SortFunc(due, func(a, b ledger.UnitID) int {
 		return cmp.Or(cmp.Compare(l.waits[a].began, l.waits[b].began), cmp.Compare(a.String(), b.String()))
 	})
+	usable, others := l.countUsable(time.Now())
+	workers := []zap.Field{zap.Int("workers", usable), zap.String("unusable", others)}
 	for _, unit := range due[:min(len(due), maxWaitLines)] {
-		l.logWait(unit, now)
+		l.logWait(unit, now, workers)
 	}
 }
 
@@ -216,13 +218,15 @@
 	return w.cause != w.loggedCause || now-w.loggedAt >= waitLogIntervalMs
 }
 
-// logWait logs what keeps a unit waiting. The caller holds l.mu.
-func (l *Leader) logWait(unit ledger.UnitID, now int64) {
+// logWait logs what keeps a unit waiting, with fields about the workers. The caller
+// holds l.mu.
+func (l *Leader) logWait(unit ledger.UnitID, now int64, workers []zap.Field) {
 	w := l.waits[unit]
 	w.loggedAt, w.loggedCause = now, w.cause
 	_, reserved := l.reservations[unit]
-	l.Logger.Info("unit waits", zap.Stringer("unit", unit), zap.String("cause", string(w.cause)), zap.Int64("waited", now-w.began),
-		zap.String("fits", strconv.Itoa(w.fits)+"/"+strconv.Itoa(w.width)), zap.Bool("reserved", reserved), zap.Int("queue", len(l.waits)))
+	fields := []zap.Field{zap.Stringer("unit", unit), zap.String("cause", string(w.cause)), zap.Int64("waited", now-w.began),
+		zap.String("fits", strconv.Itoa(w.fits)+"/"+strconv.Itoa(w.width)), zap.Bool("reserved", reserved), zap.Int("queue", len(l.waits))}
+	l.Logger.Info("unit waits", append(fields, workers...)...)
 	if l.Metrics != nil {
 		l.Metrics.Count("waits." + string(w.cause))
 	}
--- a/internal/fleet/leader/worker.go
+++ b/internal/fleet/leader/worker.go
@@ -124,11 +124,7 @@
 }
 
 // usable reports whether new runs may start on the worker.
-func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.entry.Unreadable && w.contacted && !w.unresponsive && !w.entry.Draining && len(w.orphans) == 0 && !w.unstoppable &&
-		now.Sub(w.lastAnswer) < idleSyncInterval+maxRenewSilence && now.Sub(w.unhealthyAt) > unhealthyPause &&
-		(w.entry.Incarnation == 0 || w.entry.Incarnation == w.incarnation)
-}
+func (w *worker) usable(now time.Time) bool { return w.unusable(now) == unusableNot }
 
 // suspect reports whether runs of several jobs recently failed on the worker, a
 // run on it was recently slow, or it is still slow after its start.
