Start units on what is reserved for them without a full attempt

A round tried each unit with a reservation in full although it had found no workers for another unit of its kind, and searched all reservations for each. Such a unit only looks whether its reserved resources are free.

--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -57,7 +57,7 @@
 	out       Output
 
 	pending     []Reservation          // not subtracted yet, by priority
-	subtracted  []Reservation          // of in.Reservations
+	subtracted  map[ledger.UnitID]bool // units of in.Reservations whose resources are subtracted from the free ones
 	unplaceable map[unitKind]Wait      // kinds of a unit that could not be placed, with its wait
 	started     map[string]bool        // jobs with placements
 	displaced   map[ledger.UnitID]bool // units whose reserved resources a running unit uses
@@ -80,6 +80,7 @@
 
 		unplaceable: make(map[unitKind]Wait),
 		started:     make(map[string]bool),
+		subtracted:  make(map[ledger.UnitID]bool),
 		displaced:   make(map[ledger.UnitID]bool),
 	}
 	for _, v := range in.Running {
@@ -125,8 +126,10 @@
 		r.subtractReservations(u.Priority)
 		kind := r.kindOf(u)
 		tried, unplaceable := r.unplaceable[kind]
-		if _, reserved := r.reserved[u.ID]; unplaceable && !reserved {
-			r.addOfStep(u, tried)
+		if unplaceable {
+			if !r.startReserved(u) {
+				r.addOfStep(u, tried)
+			}
 			continue
 		}
 		if attempts == 0 {
@@ -247,13 +250,13 @@
 // subtract subtracts a reservation's resources from the free ones.
 func (r *round) subtract(h Reservation) {
 	r.deduct(h, 1)
-	r.subtracted = append(r.subtracted, h)
+	r.subtracted[h.Unit] = true
 }
 
 // giveBack undoes subtract.
 func (r *round) giveBack(h Reservation) {
 	r.deduct(h, -1)
-	r.subtracted = slices.DeleteFunc(r.subtracted, func(o Reservation) bool { return o.Unit == h.Unit })
+	delete(r.subtracted, h.Unit)
 }
 
 // deduct subtracts the reservation's resources from its workers, or returns
@@ -267,12 +270,36 @@
 	}
 }
 
+// reservation returns the reservation of the unit, if its resources are subtracted
+// from the free ones.
+func (r *round) reservation(u *WaitingUnit) (h Reservation, ok bool) {
+	h, ok = r.reserved[u.ID]
+	return h, ok && h.Priority <= u.Priority
+}
+
+// startReserved starts the unit on the resources that are reserved for it, and
+// reports whether they are free.
+func (r *round) startReserved(u *WaitingUnit) bool {
+	h, ok := r.reservation(u)
+	if !ok {
+		return false
+	}
+	r.relaxAvoidance(u)
+	r.giveBack(h)
+	if r.canStartOn(u, h.Workers) {
+		r.start(u, h.Workers)
+		return true
+	}
+	r.subtract(h)
+	return false
+}
+
 // place starts the unit, or reserves resources for it, and reports whether the
 // other units of its kind should be tried in this round as well.
 func (r *round) place(u *WaitingUnit) bool {
 	r.relaxAvoidance(u)
-	h, reserved := r.reserved[u.ID]
-	if reserved = reserved && h.Priority <= u.Priority; reserved {
+	h, reserved := r.reservation(u)
+	if reserved {
 		r.giveBack(h)
 		if r.canStartOn(u, h.Workers) {
 			r.start(u, h.Workers)
--- a/internal/fleet/plan/wait.go
+++ b/internal/fleet/plan/wait.go
@@ -189,8 +189,8 @@
 		return true
 	}
 	var given []Reservation
-	for _, h := range r.subtracted {
-		if r.givesWay(h) {
+	for _, h := range r.in.Reservations {
+		if r.subtracted[h.Unit] && r.givesWay(h) {
 			given = append(given, h)
 			r.deduct(h, -1)
 		}
