Look only at workers with orphan runs, and at free resources first

After each applied start the leader searched all workers for orphan runs, and the planner asked of each worker whether it suits the unit before it compared its free resources.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -41,6 +41,7 @@
 	workers        map[string]*worker
 	unitRuns       map[ledger.UnitID][]*run       // all runs of workers, by unit
 	lost           map[ledger.UnitID][]*lostRun   // lost runs that may be reported again, by unit
+	withOrphans    map[string]*worker             // workers with orphan runs, and some that had them
 	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
 	reservations   map[ledger.UnitID]reservation
@@ -98,6 +99,7 @@
 	l.workers = make(map[string]*worker)
 	l.unitRuns = make(map[ledger.UnitID][]*run)
 	l.lost = make(map[ledger.UnitID][]*lostRun)
+	l.withOrphans = make(map[string]*worker)
 	l.unsentStarts = make(map[*run]int64)
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
 	l.reservations = make(map[ledger.UnitID]reservation)
--- a/internal/fleet/leader/orphan.go
+++ b/internal/fleet/leader/orphan.go
@@ -39,6 +39,16 @@
 	return n
 }
 
+// noteOrphans updates withOrphans after the orphan runs of a worker have changed. The
+// caller holds l.mu.
+func (l *Leader) noteOrphans(w *worker) {
+	if len(w.orphans) == 0 {
+		delete(l.withOrphans, w.id)
+		return
+	}
+	l.withOrphans[w.id] = w
+}
+
 // logOrphan logs an orphan run that was found, and how it was lost if that is known.
 // The caller holds l.mu.
 func (l *Leader) logOrphan(w *worker, n *run) {
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -67,6 +67,7 @@
 		l.logOrphan(w, n)
 		go l.deliverStop(w, n)
 	}
+	l.noteOrphans(w)
 	l.mu.Unlock()
 	l.Feed.Propose(l.Epoch, records...)
 	return false
--- a/internal/fleet/leader/returned.go
+++ b/internal/fleet/leader/returned.go
@@ -232,7 +232,7 @@
 			l.stopSuccessors(r)
 		}
 	}
-	for _, w := range l.workers {
+	for _, w := range l.withOrphans {
 		for key := range w.orphans {
 			if key.task.Job == unit.Job {
 				l.stopUnsent(key)
@@ -319,6 +319,7 @@
 		return
 	}
 	orphan := n.worker.addOrphan(n.key)
+	l.noteOrphans(n.worker)
 	l.logOrphan(n.worker, orphan)
 	go l.deliverStop(n.worker, orphan)
 }
--- a/internal/fleet/plan/choose.go
+++ b/internal/fleet/plan/choose.go
@@ -73,13 +73,13 @@
 func (r *round) capacity(u *WaitingUnit, workers []*Worker, empty bool) int {
 	n := 0
 	for _, w := range workers {
-		if !r.eligible(u, w) {
-			continue
-		}
 		resources := w.Free
 		if empty {
 			resources = w.Total
 		}
+		if !resources.Fits(u.Need) || !r.eligible(u, w) {
+			continue
+		}
 		n += r.limitPerWorker(u, w, resources.MaxTasks(u.Need))
 	}
 	return n
@@ -122,7 +122,7 @@
 	defer func() { r.fit = fit }()
 	total := 0
 	for _, w := range workers {
-		if !r.eligible(u, w) || !w.Free.Fits(u.Need) {
+		if !w.Free.Fits(u.Need) || !r.eligible(u, w) {
 			continue
 		}
 		if n := r.limitPerWorker(u, w, w.Free.MaxTasks(u.Need)); n > 0 {
