--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -182,6 +182,7 @@
 // endRound forgets the units that did not wait in this round, and logs what keeps
 // those that have waited for long. The caller holds l.mu.
 func (l *Leader) endRound(now int64) {
+	mayLog := now < l.waitsLoggedAt || now >= l.waitsLoggedAt+waitLogPauseMs
 	var due []ledger.UnitID
 	for unit, w := range l.waits {
 		if w.round != l.round {
@@ -191,17 +192,18 @@
 		if _, ok := l.reservations[unit]; !ok {
 			w.reservedSince = 0
 		}
-		if w.dueForLog(now) {
+		if mayLog && w.dueForLog(now) {
 			due = append(due, unit)
 		}
 	}
 	l.round++
-	if len(due) == 0 || now >= l.waitsLoggedAt && now < l.waitsLoggedAt+waitLogPauseMs {
+	if len(due) == 0 {
 		return
 	}
 	l.waitsLoggedAt = now
 	slices.SortFunc(due, func(a, b ledger.UnitID) int {
-		return cmp.Or(cmp.Compare(l.waits[a].began, l.waits[b].began), cmp.Compare(a.String(), b.String()))
+		return cmp.Or(cmp.Compare(l.waits[a].began, l.waits[b].began), cmp.Compare(a.Job, b.Job),
+			cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 	})
 	usable, others := l.countUsable(time.Now())
 	workers := []zap.Field{zap.Int("workers", usable), zap.String("unusable", others)}
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -194,13 +194,17 @@
 
 // kindOf returns the kind of the unit.
 func (r *round) kindOf(u *WaitingUnit) unitKind {
-	k := unitKind{step: stepOf(u), apart: r.staysApart(u), anyRack: r.rackWaitOver(u), overdue: r.overdue(u)}
+	k := unitKind{step: stepOf(u), apart: r.staysApart(u), anyRack: u.prefersRack() && r.rackWaitOver(u), overdue: r.overdue(u)}
 	if !r.avoidanceOver(u) {
 		k.avoidWorkers = strings.Join(u.AvoidWorkers, " ")
 	}
 	return k
 }
 
+// prefersRack reports whether the unit waits for the rack of its data, or for one that
+// holds all its tasks.
+func (u *WaitingUnit) prefersRack() bool { return u.Rack != "" || u.SameRack && u.Width > 1 }
+
 // sortWaiting sorts units by priority. Within one priority, units within their
 // account's guarantee come first, then those whose jobs can still meet their
 // objective, then the rest; among equals, the job that was accepted first comes
--- a/internal/fleet/plan/preempt.go
+++ b/internal/fleet/plan/preempt.go
@@ -98,6 +98,10 @@
 			out = append(out, v)
 		}
 	}
+	if !u.Guaranteed && !r.displaced[u.ID] {
+		r.candidates = out
+		return out
+	}
 	for _, v := range running {
 		if v.Priority == u.Priority && !v.Guaranteed && (u.Guaranteed || slices.Contains(v.Displaces, u.ID)) {
 			out = append(out, v)
