--- a/internal/fleet/leader/unusable.go
+++ b/internal/fleet/leader/unusable.go
@@ -15,7 +15,7 @@
 const (
 	unusableNot         unusableReason = "" // new runs may start on it
 	unusableUnlisted    unusableReason = "unlisted"
-	unusableUnreadable  unusableReason = "unreadable"
+	unusableEntry       unusableReason = "entry" // its entry cannot be used
 	unusableSilent      unusableReason = "silent"
 	unusableDraining    unusableReason = "draining"
 	unusableOrphans     unusableReason = "orphans"
@@ -31,7 +31,7 @@
 	case !w.listed:
 		return unusableUnlisted
 	case w.entry.Unreadable:
-		return unusableUnreadable
+		return unusableEntry
 	case !w.contacted || w.unresponsive || now.Sub(w.lastAnswer) >= idleSyncInterval+maxRenewSilence:
 		return unusableSilent
 	case w.entry.Draining:
