Log and count what becomes of the runs and jobs of each priority, and planning rounds

The shortest pause between two rounds becomes a field of the leader, so that a test can play a slow planner.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -195,7 +195,7 @@
 	if n.stopping || n.endProposed {
 		return
 	}
-	n.stopping = true
+	n.stopping, n.stopCause = true, cause
 	delete(l.unsentStarts, n)
 	if n.neverStarted() {
 		l.cancelStart(w, n, cause)
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -28,10 +28,15 @@
 	// second; 0 means unknown.
 	LinkRate int64
 
+	// PlanPause is the shortest pause between two planning rounds; 0 means
+	// planDebounce. Events that arrive meanwhile are handled in one round.
+	PlanPause time.Duration
+
 	// Sightings tells which workers were known before the epoch.
 	Sightings Sightings
 
-	// Metrics, if not nil, counts the log lines about waiting units by cause.
+	// Metrics, if not nil, counts the log lines about waiting units by cause and ended
+	// runs by priority and end, and observes the durations of planning rounds.
 	Metrics *metric.Set
 
 	// Machines, if not nil, reads the platform's list of machines.
@@ -50,6 +55,7 @@
 	round          int64                             // number of the planning round
 	waitsLoggedAt  int64                             // Unix ms of the last lines about waiting units
 	pacer          *pacer
+	tally          *tally
 	planWake       chan struct{}
 	ctx            context.Context
 	startedAt      time.Time
@@ -83,6 +89,7 @@
 	checkpoint  string
 	progress    progressSample
 	stopping    bool
+	stopCause   string    // why it is being stopped
 	inherited   bool      // started by an earlier leader, and not reported to this one
 	removed     bool      // no longer among the runs of its worker
 	endProposed bool      // a record of its end has been proposed
@@ -107,6 +114,7 @@
 	l.displaced = make(map[ledger.UnitID][]ledger.UnitID)
 	l.planWake = make(chan struct{}, 1)
 	l.pacer = newPacer(l.LinkRate)
+	l.tally = newTally(l.startedAt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range entries {
@@ -320,6 +328,7 @@
 		l.breakGang(u, r)
 	}
 	if effective && js.Phase == ledger.Finished {
+		l.tally.jobs[js.Job.Priority]++
 		l.Logger.Info("job done", zap.String("job", js.Job.ID), zap.String("queue", js.Job.Queue), zap.Int64("took", r.At-js.Job.AcceptedAt))
 	}
 }
@@ -337,6 +346,7 @@
 			continue
 		}
 		ended = append(ended, n)
+		l.countEnd(s, n, r.Outcome)
 		l.removeRun(n)
 		if !lost || !l.hasEnded(n) {
 			n.worker.markStored(n.key)
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,8 +14,7 @@
 )
 
 const (
-	// planDebounce is the shortest pause between two planning rounds; events
-	// that arrive meanwhile are handled in one round.
+	// planDebounce is the default of Leader.PlanPause.
 	planDebounce = 15 * time.Millisecond
 
 	// planPauseFactor limits the share of time spent on planning: the pause
@@ -50,7 +50,9 @@
 	for l.ctx.Err() == nil {
 		began := time.Now()
 		l.plan()
-		delay.For(l.ctx, max(planDebounce, planPauseFactor*time.Since(began)))
+		took := time.Since(began)
+		l.countRound(took)
+		delay.For(l.ctx, max(cmp.Or(l.PlanPause, planDebounce), planPauseFactor*took))
 		t := time.NewTimer(maxPlanInterval)
 		select {
 		case <-l.planWake:
@@ -75,6 +77,7 @@
 		defer l.mu.Unlock()
 		in = l.planInput(s, cfg)
 		defer l.endRound(in.Now)
+		defer l.summarize(s, time.Now())
 		if len(in.Waiting) == 0 {
 			return
 		}
@@ -312,13 +315,8 @@
 // missesObjective reports whether the unit, if it started now, would by its
 // estimate end after its job's objective.
 func missesObjective(js *ledger.JobState, u *ledger.Unit, now int64) bool {
-	totalEstimate := int64(0)
-	for i := range js.Job.Steps {
-		totalEstimate += js.Job.Steps[i].Estimate
-	}
 	begin := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence))
-	objective := int64(js.Job.Stretch*float64(totalEstimate)) + js.Job.Target
-	return now+js.Job.Steps[u.ID.Step].Estimate > begin+objective
+	return now+js.Job.Steps[u.ID.Step].Estimate > begin+js.Job.Objective()
 }
 
 // taskNeed returns the resources that one task of the step needs.
--- a/internal/fleet/ledger/job.go
+++ b/internal/fleet/ledger/job.go
@@ -55,6 +55,19 @@
 	return max(j.OccurrenceCount, 1)
 }
 
+// MaxLateness is how many times its latency objective a job may take before its result
+// is of no use to its caller.
+const MaxLateness = 3
+
+// Objective returns the latency objective of one occurrence of the job in ms.
+func (j *Job) Objective() int64 {
+	totalEstimate := int64(0)
+	for i := range j.Steps {
+		totalEstimate += j.Steps[i].Estimate
+	}
+	return int64(j.Stretch*float64(totalEstimate)) + j.Target
+}
+
 // Due returns the Unix time in ms before which occurrence k must not start. It
 // is 0 for a job that is not scheduled.
 func (j *Job) Due(k int) int64 {
