Let the workers of tests resume from checkpoints

A run that was stopped wrote no checkpoint, so each preemption of a checkpointable task lost all of its work in tests, although the scheduler prefers to stop such tasks. A load on the stand-ins therefore showed far fewer ends than real workers do.

--- a/internal/fleet/fleettest/requests.go
+++ b/internal/fleet/fleettest/requests.go
@@ -105,7 +105,7 @@
 		if !ws.Checker.checkStart(ws, w, o, late) {
 			return &leader.RefusedError{Reason: leader.RefusedInvalid}
 		}
-		w.runs[o.Task] = &taskRun{task: o.Task, run: o.Run, startedAt: time.Now(), delayed: late}
+		w.runs[o.Task] = &taskRun{task: o.Task, run: o.Run, startedAt: time.Now(), saved: savedWork(o.Checkpoint), delayed: late}
 		if ws.DeadlyJobs[o.Task.Job] {
 			ws.crashByTask(w)
 		}
--- a/internal/fleet/fleettest/workers.go
+++ b/internal/fleet/fleettest/workers.go
@@ -33,9 +33,10 @@
 	task         leader.TaskID
 	run          int
 	startedAt    time.Time
-	runningSince time.Time // zero until its gang is complete
-	stopAt       time.Time // when a stop request takes effect
-	delayed      bool      // started by a request that took effect late
+	runningSince time.Time     // zero until its gang is complete
+	saved        time.Duration // work of the checkpoint from which it began
+	stopAt       time.Time     // when a stop request takes effect
+	delayed      bool          // started by a request that took effect late
 }
 
 // anyLabel is a label of all workers. Their other one is their rack.
@@ -242,7 +243,7 @@
 			return
 		}
 		ws.end(w, r, ledger.GangEnded)
-	case !r.runningSince.IsZero() && now.Sub(r.runningSince) >= ws.runTime(r.task):
+	case !r.runningSince.IsZero() && r.saved+now.Sub(r.runningSince) >= ws.runTime(r.task):
 		ws.end(w, r, ledger.Done)
 	case r.runningSince.IsZero() && now.Sub(r.startedAt) > GangTimeout:
 		ws.Checker.IncompleteGangs = append(ws.Checker.IncompleteGangs, fmt.Sprint(r.task))
@@ -258,11 +259,25 @@
 	w.highestRun[r.task] = max(w.highestRun[r.task], r.run)
 	w.lastSeq++
 	w.endedAt[w.lastSeq] = time.Now()
-	w.ended = append(w.ended, leader.EndedTask{Seq: w.lastSeq, Task: r.task, Run: r.run, Outcome: how})
+	w.ended = append(w.ended, leader.EndedTask{Seq: w.lastSeq, Task: r.task, Run: r.run, Outcome: how, Checkpoint: ws.checkpoint(r, how)})
 	ws.Checker.recordEnd(r, how)
 	w.notify()
 }
 
+// checkpoint returns the checkpoint that a run writes when it ends, or none.
+func (ws *Workers) checkpoint(r *taskRun, how ledger.RunOutcome) string {
+	if how != ledger.Stopped || r.runningSince.IsZero() || !ws.Checker.Jobs[r.task.Job].Steps[r.task.Step].Checkpointable {
+		return ""
+	}
+	return (r.saved + time.Since(r.runningSince)).String()
+}
+
+// savedWork returns the work of a checkpoint; an empty one has none.
+func savedWork(checkpoint string) time.Duration {
+	d, _ := time.ParseDuration(checkpoint)
+	return d
+}
+
 // WithLock calls f while it holds the lock of all workers.
 func (ws *Workers) WithLock(f func()) {
 	ws.mu.Lock()
