--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -50,6 +50,7 @@
 	CPUs          float64       // processor time in CPUs, may be a fraction; 0 is unknown
 	LinkRate      int64         // capacity of the instance's network link in bytes per second; 0 is unknown
 	ShutdownGrace time.Duration // time from the stop signal until the process must have exited
+	PlanPause     time.Duration // shortest pause between two planning rounds; 0 is the leader's default
 	Bounds        leader.Bounds
 }
 
@@ -151,7 +152,7 @@
 // startLeader starts the leader of an epoch. The feed calls it with its lock
 // held.
 func (n *Instance) startLeader(ctx context.Context, epoch uint64, s *ledger.State) {
-	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, Logger: n.Logger, Metrics: n.Metrics, Machines: n.Machines, Sightings: maps.Clone(n.sightings)}
+	l := &leader.Leader{Epoch: epoch, Feed: n.Feed, Policy: n.Policy, Client: n.WorkerClient, Bounds: n.Settings.Bounds, LinkRate: n.Settings.LinkRate, PlanPause: n.Settings.PlanPause, Logger: n.Logger, Metrics: n.Metrics, Machines: n.Machines, Sightings: maps.Clone(n.sightings)}
 	l.Init(ctx, s, nil)
 	n.leader.Store(l)
 	if n.OnLeading != nil {
--- a/internal/fleet/instance/load_test.go
+++ b/internal/fleet/instance/load_test.go
@@ -62,13 +62,17 @@
 	return v[min(int(q*float64(len(v))), len(v)-1)]
 }
 
-// runLoad submits jobs of the kinds for the duration, waits for their ends and
-// returns how long they took.
-func runLoad(c *cluster, rnd *rand.Rand, kinds []jobKind, d time.Duration) *loadResult {
-	res := &loadResult{}
-	var wg sync.WaitGroup
+// timedJob is a job that is submitted at a time after the begin of the load.
+type timedJob struct {
+	ledger.Job
+	at time.Duration
+}
+
+// drawLoad draws jobs of the kinds for the duration, on the given number of workers.
+func drawLoad(rnd *rand.Rand, kinds []jobKind, workers int, d time.Duration) []timedJob {
+	var out []timedJob
 	for k, kind := range kinds {
-		rate := kind.perSecond * float64(*loadWorkers) / 1000
+		rate := kind.perSecond * float64(workers) / 1000
 		at := time.Duration(0)
 		for n := 0; ; n++ {
 			at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
@@ -81,13 +85,23 @@
 				Estimate: kind.runTime.Milliseconds(), Checkpointable: kind.priority > 0 && rnd.IntN(2) == 0,
 			})
 			j.Priority = kind.priority
-			submitAt := at
-			wg.Go(func() {
-				time.Sleep(submitAt)
-				c.followJob(j, res)
-			})
+			out = append(out, timedJob{j, at})
 		}
 	}
+	return out
+}
+
+// runLoad submits the jobs at their times, waits for their ends and returns how long
+// they took.
+func runLoad(c *cluster, jobs []timedJob) *loadResult {
+	res := &loadResult{}
+	var wg sync.WaitGroup
+	for _, j := range jobs {
+		wg.Go(func() {
+			time.Sleep(j.at)
+			c.followJob(j.Job, res)
+		})
+	}
 	wg.Wait()
 	return res
 }
@@ -132,7 +146,7 @@
 	r := runCluster(t, 1, 2, 0, func(c *cluster) {
 		c.addLoadWorkers(*loadWorkers)
 		time.Sleep(8 * time.Second)
-		res = runLoad(c, rand.New(rand.NewPCG(1, 9)), loadKinds, 20*time.Second)
+		res = runLoad(c, drawLoad(rand.New(rand.NewPCG(1, 9)), loadKinds, *loadWorkers, 20*time.Second))
 	})
 	for p := range 3 {
 		t.Logf("priority %d: %d jobs, median %v, 90%% %v, 99%% %v", p, len(res.took[p]), res.quantile(p, 0.5), res.quantile(p, 0.9), res.quantile(p, 0.99))
