Order units of one priority by the value of the work that their job still needs

Cause: among units of one priority, those of jobs that miss their objective came after all others, and no order knew how near a job is to its end. Under overload each job is late in the end and is then overtaken by every newer one, so room that is scarce is spread over all jobs; a job is of use only when its last task has ended.

Change: a unit's urgency within its priority is the value of its job for each core-second that the job still has to start, times the square of its age; nearly finished jobs come first, large ones overtake small ones before they expire, expired ones come last. Jobs that start as a whole keep their order (on time, late), but for expired ones.

Why it works: a job that has begun is finished before the next one begins, so the room that is left for bulk ends jobs instead of beginning them.

--- a/internal/fleet/leader/planinput.go
+++ b/internal/fleet/leader/planinput.go
@@ -90,6 +90,9 @@
 	ready := make(map[stepKey]bool)
 	idle := l.idle(js)
 	clock := time.Now().UnixMilli()
+	work := jobWork(js)
+	whole := len(js.Units) == js.Job.Occurrences()
+	objective := float64(max(1, js.Job.Objective()))
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -124,9 +127,10 @@
 		if w.since == 0 {
 			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, in.Now)
 		}
+		begin := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence))
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
-			ReadySince: w.since, AcceptedAt: max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence)), Late: missesObjective(js, u, in.Now),
+			ReadySince: w.since, AcceptedAt: begin, Late: missesObjective(js, u, in.Now), Age: float64(max(0, in.Now-begin)) / objective, Work: work[u.ID.Occurrence], Whole: whole,
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 			RoomSince: w.roomSince, NoRoomSince: w.noRoomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
@@ -165,6 +169,32 @@
 	return now+js.Job.Steps[u.ID.Step].Estimate > begin+js.Job.Objective()
 }
 
+// jobWork returns the work of the job by occurrence.
+func jobWork(js *ledger.JobState) map[int]plan.Work {
+	perUnit := make([]float64, len(js.Job.Steps))
+	for i := range js.Job.Steps {
+		step := &js.Job.Steps[i]
+		perUnit[i] = taskNeed(step).CoreEquivalents() * float64(step.Estimate) / 1000
+		if step.Gang {
+			perUnit[i] *= float64(step.Count)
+		}
+	}
+	out := make(map[int]plan.Work, js.Job.Occurrences())
+	for i := 0; i < len(js.Units); {
+		occurrence := js.Units[i].ID.Occurrence
+		w := out[occurrence]
+		for ; i < len(js.Units) && js.Units[i].ID.Occurrence == occurrence; i++ {
+			u := &js.Units[i]
+			w.Total += perUnit[u.ID.Step]
+			if !u.Done && !u.Active() {
+				w.ToStart += perUnit[u.ID.Step]
+			}
+		}
+		out[occurrence] = w
+	}
+	return out
+}
+
 // taskNeed returns the resources that one task of the step needs.
 func taskNeed(step *ledger.Step) plan.Resources {
 	return plan.Resources{CPU: step.CPU, Memory: step.Memory, GPU: step.GPU}
--- a/internal/fleet/plan/doc.go
+++ b/internal/fleet/plan/doc.go
@@ -3,7 +3,8 @@
 // reads no clock and sends no requests.
 //
 // It is made for workloads in which urgent gangs arrive while longer work
-// occupies the workers. More urgent units are placed first. An urgent unit, or
+// occupies the workers. More urgent units are placed first; within a priority, those of
+// jobs that gain the most for the work that they still need. An urgent unit, or
 // any other after a short wait, may preempt less urgent work, the cheapest
 // first; a unit within its account's guarantee may also preempt work as urgent
 // that uses more than its account's guarantee. The resources freed for a unit
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -90,6 +90,9 @@
 	TriedAt      int64     // Unix ms of the last round that tried to place it; 0 is never
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
+	Age          float64   // time since AcceptedAt, in multiples of the latency objective of its job
+	Whole        bool      // it is the only unit of its occurrence of the job
+	Work         Work      // of its occurrence of the job
 	Width        int       // number of tasks
 	Need         Resources // of one task
 	Label        string
@@ -104,7 +107,8 @@
 	JobIdle      bool           // no task of its job runs or is about to start
 	Lasting      bool           // its tasks run until the job is cancelled
 
-	anywhere bool // its preferences count no longer, see placeOverdue
+	urgency  float64 // see sortWaiting
+	anywhere bool    // its preferences count no longer, see placeOverdue
 }
 
 // RunningUnit is a unit with a run that has not ended.
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -205,43 +205,6 @@
 // holds all its tasks.
 func (u *WaitingUnit) prefersRack() bool { return u.Rack != "" || u.SameRack && u.Width > 1 }
 
-// sortWaiting sorts units by priority. Within one priority, units within their
-// account's guarantee come first, then those whose jobs can still meet their
-// objective, then the rest; among equals, the job that was accepted first comes
-// first.
-func sortWaiting(units []*WaitingUnit) {
-	slices.SortStableFunc(units, func(a, b *WaitingUnit) int {
-		return cmp.Or(
-			cmp.Compare(sortKey(a), sortKey(b)),
-			cmp.Compare(a.AcceptedAt, b.AcceptedAt),
-			compareUnits(a.ID, b.ID),
-		)
-	})
-}
-
-// compareUnits orders units by their IDs.
-func compareUnits(a, b ledger.UnitID) int {
-	return cmp.Or(
-		cmp.Compare(a.Job, b.Job),
-		cmp.Compare(a.Occurrence, b.Occurrence),
-		cmp.Compare(a.Step, b.Step),
-		cmp.Compare(a.Index, b.Index),
-	)
-}
-
-// sortKey combines priority, guarantee and lateness; a lower key is placed
-// first.
-func sortKey(u *WaitingUnit) int {
-	n := 4 * u.Priority
-	if u.Guaranteed {
-		n--
-	}
-	if u.Late && !u.Guaranteed {
-		n += 2
-	}
-	return n
-}
-
 // subtractReservations subtracts the reservations that units of the priority must
 // respect: those of units that are as urgent or more urgent.
 func (r *round) subtractReservations(priority int) {
