Do not let tasks that last count as expired in the order of units

Cause: a job whose tasks last grows older without end, so with the order by age each restart of such a task came after all other units of its priority. No caller saw it; it was found when the change was read. Change: the order takes a lasting task as being on time, and the summary of the queues does not count its job as late. Measured: the new row of TestOrder failed before and passes.

--- a/internal/fleet/leader/tally.go
+++ b/internal/fleet/leader/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -89,6 +90,9 @@
 			c.begun++
 		}
 		objective := js.Job.Objective()
+		if slices.ContainsFunc(js.Job.Steps, func(s ledger.Step) bool { return s.LongRunning }) {
+			objective = math.MaxInt64 / ledger.MaxLateness // it lasts, and is never late
+		}
 		if age := now - max(js.Job.AcceptedAt, js.Job.Due(0)); age > ledger.MaxLateness*objective {
 			c.expired++
 		} else if age > objective {
--- a/internal/fleet/plan/order.go
+++ b/internal/fleet/plan/order.go
@@ -49,7 +49,8 @@
 
 // urgency compares units of one priority.
 //
-// Of jobs that start as a whole, those that can still meet their objective come first.
+// A task that lasts earns while it runs, however old its job is. Of jobs that start
+// as a whole, those that can still meet their objective come first.
 //
 // A job that starts one unit after the other is of use only when its last task has
 // ended. If the units of all were equal, room that is scarce would be spread over all
@@ -64,6 +65,8 @@
 		density = (fixedValue*meanWork + (1-fixedValue)*u.Work.Total) / u.Work.ToStart
 	}
 	switch {
+	case u.Lasting:
+		return 1
 	case u.Age > ledger.MaxLateness:
 		return expiredValue * density
 	case !u.Whole:
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -230,6 +230,8 @@
 		u.Whole, u.Work, u.Age, u.Late, u.AcceptedAt = true, Work{10, 10}, age, late, -int64(10*age)
 		return u
 	}
+	lasting := job("lasting", 10, 10, 1000)
+	lasting.Lasting = true
 	guaranteed, second, low, high := unit("sure", 1, 1, 1), unit("second", 1, 1, 1), unit("low", 2, 1, 1), unit("high", 0, 1, 1)
 	guaranteed.Guaranteed, second.AcceptedAt = true, 5
 	tests := []struct {
@@ -246,6 +248,7 @@
 		{"large before it expires", []*WaitingUnit{job("small", 8, 8, 0), job("mean", 78, 78, 0), job("large", 400, 400, 2.9)}, []string{"large", "small", "mean"}},
 		{"expired last", []*WaitingUnit{job("expired", 78, 78, 3.1), job("late", 78, 78, 2), job("new", 78, 78, 0.9)}, []string{"late", "new", "expired"}},
 		{"expired long ago", []*WaitingUnit{job("expired", 78, 78, 1000), job("new", 78, 78, 0)}, []string{"new", "expired"}},
+		{"a task that lasts does not expire", []*WaitingUnit{job("expired", 78, 78, 4), whole("late", 1.5, true), lasting}, []string{"lasting", "late", "expired"}},
 		{"expired but nearly done", []*WaitingUnit{job("new", 78, 78, 0), job("expired", 78, 1, 3.1)}, []string{"expired", "new"}},
 	}
 	for _, tt := range tests {
