Let only gangs keep the order by lateness

Cause: a job of one task counted as one that starts as a whole. Beside bulk jobs of its priority it came after all of them once it was late, although it needs the least work of all. Change: only a job that is one gang keeps the order by lateness.

--- a/internal/fleet/leader/planinput.go
+++ b/internal/fleet/leader/planinput.go
@@ -91,7 +91,7 @@
 	idle := l.idle(js)
 	clock := time.Now().UnixMilli()
 	work := jobWork(js)
-	whole := len(js.Units) == js.Job.Occurrences()
+	onlyUnit := len(js.Units) == js.Job.Occurrences()
 	objective := float64(max(1, js.Job.Objective()))
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
@@ -130,7 +130,7 @@
 		begin := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence))
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Service: service, Account: js.Job.Account, Priority: priority,
-			ReadySince: w.since, AcceptedAt: begin, Late: missesObjective(js, u, in.Now), Age: float64(max(0, in.Now-begin)) / objective, Work: work[u.ID.Occurrence], Whole: whole,
+			ReadySince: w.since, AcceptedAt: begin, Late: missesObjective(js, u, in.Now), Age: float64(max(0, in.Now-begin)) / objective, Work: work[u.ID.Occurrence], Whole: onlyUnit && step.Gang,
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
 			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 			RoomSince: w.roomSince, NoRoomSince: w.noRoomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning,
--- a/internal/fleet/leader/planinput_test.go
+++ b/internal/fleet/leader/planinput_test.go
@@ -7,8 +7,34 @@
 
 	"jasminelane.example/lane/internal/fleet/ledger"
 	"jasminelane.example/lane/internal/fleet/plan"
+	"jasminelane.example/lane/internal/fleet/policy"
 )
 
+// Guards against small jobs of one task that come after all larger ones once they are late, because they count as starting as a whole.
+func TestOnlyGangsAreWhole(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []ledger.Step
+		want  bool
+	}{
+		{"one task", []ledger.Step{{Count: 1}}, false},
+		{"several tasks", []ledger.Step{{Count: 3}}, false},
+		{"one gang", []ledger.Step{{Count: 3, Gang: true}}, true},
+		{"two gangs", []ledger.Step{{Count: 3, Gang: true}, {Count: 3, Gang: true}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := ledger.NewState()
+			s.Apply(ledger.Record{Submit: &ledger.Job{ID: "a", Steps: tt.steps}})
+			l := &Leader{waits: make(map[ledger.UnitID]*unitWait)}
+			var in plan.Input
+			l.addWaiting(&in, s.Jobs["a"], &policy.Config{}, false)
+			is.Equal(in.Waiting[0].Whole, tt.want)
+		})
+	}
+}
+
 // Guards against work that is counted for another occurrence, or as still to start although it runs or is done.
 func TestJobWork(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -91,7 +91,7 @@
 	AcceptedAt   int64     // Unix ms at which its job was accepted
 	Late         bool      // its job can no longer meet its objective
 	Age          float64   // time since AcceptedAt, in multiples of the latency objective of its job
-	Whole        bool      // it is the only unit of its occurrence of the job
+	Whole        bool      // it is a gang, and the only unit of its occurrence of the job
 	Work         Work      // of its occurrence of the job
 	Width        int       // number of tasks
 	Need         Resources // of one task
--- a/internal/fleet/plan/order.go
+++ b/internal/fleet/plan/order.go
@@ -49,10 +49,11 @@
 
 // urgency compares units of one priority.
 //
-// A task that lasts earns while it runs, however old its job is. Of jobs that start
-// as a whole, those that can still meet their objective come first.
+// A task that lasts earns while it runs, however old its job is. Of jobs that are
+// one gang, and so start as a whole, those that can still meet their objective come
+// first.
 //
-// A job that starts one unit after the other is of use only when its last task has
+// Any other job is of use only when its last task has
 // ended. If the units of all were equal, room that is scarce would be spread over all
 // such jobs, and few of them would end. So their urgency is the value of the job for
 // each core-second that it still has to start (weighted shortest remaining work first).
