Keep a delayed sync of a test worker away from its caller's report

Cause: a sync that the stand-in of the workers carries out late wrote the report of a caller that had given up, while that caller returned it. Change: a late sync takes effect on the worker, and writes no report. Measured: TestDelayedSyncLeavesCallerAlone reported the race before and passes; tests of package fleettest pass with the race detector.

--- a/internal/fleet/fleettest/requests.go
+++ b/internal/fleet/fleettest/requests.go
@@ -145,8 +145,12 @@
 			}
 			ws.acknowledge(w, o.Ack)
 			w.extendLease(o.LeaseEnd)
-			report = leader.Report{ClockMs: w.clockMs(), Incarnation: w.incarnation, Ended: slices.Clone(w.ended[:min(len(w.ended), leader.MaxReportedEnds)])}
-			ws.Checker.recordListed(report.Ended)
+			ended := slices.Clone(w.ended[:min(len(w.ended), leader.MaxReportedEnds)])
+			ws.Checker.recordListed(ended)
+			if late {
+				return nil // the caller has given up
+			}
+			report = leader.Report{ClockMs: w.clockMs(), Incarnation: w.incarnation, Ended: ended}
 			for _, r := range w.runs {
 				report.Running = append(report.Running, leader.RunningTask{Task: r.task, Run: r.run})
 			}
