--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,11 +19,11 @@
 // cases has the cases by name. trouble tells whether the disruption is played. They
 // return an exit code and what they found.
 var cases = map[string]func(folder string, trouble bool) (int, string){
-	"crash":    playCrash,
-	"cancel":   playCancel,
-	"memory":   playMemory,
 	"takeover": playTakeover,
-	"freeze":   playFreeze,
+	"gang":     playGang,
+	"cancel":   playCancel,
+	"crash":    playCrash,
+	"after":    playAfter,
 }
 
 func main() {
