review: case 8, a late start reaches the next life of its executor

Cause: a new life of an executor under the same id knows no fencing token before the leader's first sync, and an idle executor is synced every 4 s only; its end was acknowledged while a start of its run had no answer. The case of the cancelled job is now 9.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/fleetd ] && [ -x target/review-standin2 ] || { echo "not built"; exit 2; }
-exec target/review-standin2 crash review/9
+exec target/review-standin2 cancel review/9
--- a/review/standin2/executor.go
+++ b/review/standin2/executor.go
@@ -17,6 +17,7 @@
 	maxLeaseMs   = 6000                    // holdMaxMs
 	stopTime     = 50 * time.Millisecond   // within stopGraceMs
 	tickInterval = 10 * time.Millisecond
+	lateInLife   = 100 * time.Millisecond // from the begin of a life to late starts of the one before
 )
 
 // TaskRun is one run of a task on an executor.
@@ -56,6 +57,7 @@
 	highest  map[string]int
 	ended    []Ended
 	lastEnd  int
+	late     []message // starts that the next life carries out as it begins
 	changed  chan struct{}
 	lastBeat time.Time
 }
@@ -64,6 +66,11 @@
 type Cloud struct {
 	Store  *Store
 	Record func(format string, args ...any)
+	// LosesStart, if set, says whether a start gets no answer and is carried out late, by
+	// the next life of the executor.
+	LosesStart func(task string, run int) bool
+	// OnAck, if set, is called for each end that is taken note of.
+	OnAck func(e *Executor, end Ended)
 	// OnStart and OnEnd, if set, are called for each run that begins or ends.
 	OnStart func(e *Executor, r TaskRun)
 	OnEnd   func(e *Executor, r TaskRun, how string)
@@ -83,7 +90,7 @@
 	c.mu.Lock()
 	c.executors = append(c.executors, e)
 	c.mu.Unlock()
-	e.boot(ln)
+	e.boot(ln, "")
 	return e, nil
 }
 
@@ -94,12 +101,14 @@
 	return append([]*Executor(nil), c.executors...)
 }
 
-// boot begins a life of the executor, with a new id.
-func (e *Executor) boot(ln net.Listener) {
-	e.Cloud.mu.Lock()
-	e.Cloud.lives++
-	id := fmt.Sprintf("i-%08x", 0x7f3a0000+e.Cloud.lives)
-	e.Cloud.mu.Unlock()
+// boot begins a life of the executor, under the id or, if that is empty, a new one.
+func (e *Executor) boot(ln net.Listener, id string) {
+	if id == "" {
+		e.Cloud.mu.Lock()
+		e.Cloud.lives++
+		id = fmt.Sprintf("i-%08x", 0x7f3a0000+e.Cloud.lives)
+		e.Cloud.mu.Unlock()
+	}
 	e.mu.Lock()
 	e.ID, e.Up, e.Draining = id, true, false
 	e.born = time.Now()
@@ -107,12 +116,28 @@
 	e.runs, e.highest, e.ended = make(map[string]*TaskRun), make(map[string]int), nil
 	e.changed = make(chan struct{})
 	e.server = &http.Server{Handler: e}
-	server := e.server
+	server, late := e.server, e.late
+	e.late = nil
 	e.mu.Unlock()
 	go func() { _ = server.Serve(ln) }()
+	time.AfterFunc(lateInLife, func() { e.carryOut(late) })
 	e.report()
 }
 
+// carryOut carries out starts that were sent to an earlier life under the same id.
+func (e *Executor) carryOut(late []message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range late {
+		if uint64(m.number("fence")) < e.fence {
+			e.Cloud.Record("executor %s refuses a late start: it has seen a higher fence", e.ID)
+			continue
+		}
+		e.Cloud.Record("executor %s carries out a late start", e.ID)
+		e.start(m)
+	}
+}
+
 // report writes the executor's entry.
 func (e *Executor) report() {
 	e.mu.Lock()
@@ -136,8 +161,9 @@
 func (e *Executor) clock() int64 { return time.Since(e.born).Milliseconds() }
 
 // Crash ends the present life without a word. All that runs ends. The executor comes
-// back as a new one after the time; its entry goes after three intervals.
-func (e *Executor) Crash(down time.Duration) {
+// back after the time, as a new one or under its id. The entry of one that comes back as
+// a new one goes after three intervals.
+func (e *Executor) Crash(down time.Duration, sameID bool) {
 	e.mu.Lock()
 	id := e.ID
 	e.Up = false
@@ -154,12 +180,16 @@
 			e.Cloud.OnEnd(e, r, "crashed")
 		}
 	}
-	time.AfterFunc(3*beat, func() { e.Cloud.Store.Put("keyed.servers", id, nil) })
+	next := id
+	if !sameID {
+		next = ""
+		time.AfterFunc(3*beat, func() { e.Cloud.Store.Put("keyed.servers", id, nil) })
+	}
 	time.AfterFunc(down, func() {
 		for {
 			ln, err := net.Listen("tcp", e.addr)
 			if err == nil {
-				e.boot(ln)
+				e.boot(ln, next)
 				e.Cloud.Record("executor %s is back as %s", id, e.ID)
 				return
 			}
@@ -267,6 +297,14 @@
 	e.fence = fence
 	switch r.URL.Path {
 	case names["start"]:
+		if lose := e.Cloud.LosesStart; lose != nil && lose(m.text("task"), int(m.number("run"))) {
+			e.Cloud.Record("executor %s: a start of %s run %d gets no answer and is carried out late", e.ID, m.text("task"), m.number("run"))
+			e.late = append(e.late, m)
+			e.mu.Unlock()
+			<-r.Context().Done()
+			e.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
 		status, answer := e.start(m)
 		writeJSON(w, status, answer)
 	case names["stop"]:
@@ -330,6 +368,9 @@
 	}
 	acked := int(m.number(names["ack"]))
 	for len(e.ended) > 0 && e.ended[0].N <= acked {
+		if e.Cloud.OnAck != nil {
+			e.Cloud.OnAck(e, e.ended[0])
+		}
 		e.ended = e.ended[1:]
 	}
 	if wait := m.number("waitMs"); wait > 0 && len(e.ended) == 0 {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,8 +22,8 @@
 	"takeover": playTakeover,
 	"gang":     playGang,
 	"cancel":   playCancel,
-	"crash":    playCrash,
 	"after":    playAfter,
+	"reborn":   playReborn,
 }
 
 func main() {
