Count what is left of each step as records are applied

Cause: for each unit that is ready, the first round of a leader went through all units of the job and, for each, through the dependencies of the step. Later rounds went through all steps of the job for each ready unit (objective, slack), and through all units for each step with a limit for each worker and each dependency. The round holds the lock of the feed, so the leader is replaced before its first round ends, and its successor computes the same.

Change: a job's state keeps the number of undone units and the latest end of a run for each step, updated as records are applied, and finds a unit by its position. The planner computes what the units of a step, or of a job, have in common once for all of them.

TestReadySince and TestCouldRunSince pass the ends of the dependencies from the state, since the function takes them instead of the units; TestSlack calls the two functions that took the place of one. What they expect is unchanged.

--- a/internal/fleet/leader/health.go
+++ b/internal/fleet/leader/health.go
@@ -179,27 +179,43 @@
 	return false
 }
 
-// slack returns by which factor the job may take longer than on usual workers, from the
-// start of the unit on, and still meet its objective. Estimates may be far off, so the
-// factor follows from that of the objective, with the share of the objective that has
-// passed and the share of the job's time that is still needed. The caller holds l.mu.
-func (l *Leader) slack(js *ledger.JobState, u *ledger.Unit, age float64) float64 {
+// slack tells by which factor a job may take longer than on usual workers and still meet
+// its objective. The zero value is unknown.
+type slack struct {
+	factor float64 // ratio of the objective to the job's time; infinite if the objective says nothing
+	needed []int64 // time that the steps from each one on take, ms
+}
+
+// slackOf returns the slack of a job with the objective in ms. The caller holds l.mu.
+func (l *Leader) slackOf(j *ledger.Job, objective int64) slack {
 	if l.health == nil {
+		return slack{}
+	}
+	out := slack{factor: math.Inf(1), needed: make([]int64, len(j.Steps))}
+	total := int64(0)
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		total += j.Steps[i].Estimate
+		out.needed[i] = total
+	}
+	switch {
+	case objective <= 0:
+	case j.Stretch > 0:
+		out.factor = j.Stretch
+	case total > 0:
+		out.factor = float64(objective) / float64(total)
+	}
+	return out
+}
+
+// of returns the factor for the job from a step on, when the share age of the objective
+// has passed. Estimates may be far off, so it follows from the factor of the objective
+// and from the share of the job's time that is still needed.
+func (s slack) of(step int, age float64) float64 {
+	switch {
+	case s.needed == nil:
 		return 0
+	case math.IsInf(s.factor, 1) || s.needed[step] == 0:
+		return math.Inf(1)
 	}
-	total, needed := int64(0), int64(0)
-	for i := range js.Job.Steps {
-		total += js.Job.Steps[i].Estimate
-		if i >= u.ID.Step {
-			needed += js.Job.Steps[i].Estimate
-		}
-	}
-	if needed == 0 || js.Job.Objective() <= 0 {
-		return math.Inf(1) // its objective says nothing
-	}
-	factor := js.Job.Stretch
-	if factor <= 0 {
-		factor = float64(js.Job.Objective()) / float64(total)
-	}
-	return factor * (1 - age) * float64(total) / float64(needed)
+	return s.factor * (1 - age) * float64(s.needed[0]) / float64(s.needed[step])
 }
--- a/internal/fleet/leader/health_test.go
+++ b/internal/fleet/leader/health_test.go
@@ -147,7 +147,7 @@
 		is := is.New(t)
 		l := newHealthTest(true).leader
 		js := &ledger.JobState{Job: ledger.Job{Stretch: 1.5, Target: 250, Steps: []ledger.Step{{Estimate: tt.estimate}, {Estimate: tt.estimate}}}}
-		is.Equal(l.slack(js, &ledger.Unit{ID: ledger.UnitID{Step: tt.step}}, tt.age), tt.want) // tt.name
+		is.Equal(l.slackOf(&js.Job, js.Job.Objective()).of(tt.step, tt.age), tt.want) // tt.name
 	}
 }
 
--- a/internal/fleet/leader/planinput.go
+++ b/internal/fleet/leader/planinput.go
@@ -88,13 +88,13 @@
 // addWaiting adds the job's units that could start now to the input. The caller
 // holds the feed's lock and l.mu.
 func (l *Leader) addWaiting(in *plan.Input, js *ledger.JobState, cfg *policy.Config, guaranteed bool) {
-	runningTasks := make(map[stepKey]map[string]int)
-	ready := make(map[stepKey]bool)
+	steps := make(map[stepKey]*waitingStep)
 	idle := l.idle(js)
 	clock := time.Now().UnixMilli()
 	work := jobWork(js)
 	onlyUnit := len(js.Units) == js.Job.Occurrences()
-	objective := float64(max(1, js.Job.Objective()))
+	objective := js.Job.Objective()
+	slack := l.slackOf(&js.Job, objective)
 	priority, service := js.Job.Priority, js.Job.Service
 	if q := cfg.RouteByName(js.Job.Queue); q != nil {
 		priority, service = q.Priority, q.Service
@@ -102,10 +102,6 @@
 	for i := range js.Units {
 		u := &js.Units[i]
 		step := &js.Job.Steps[u.ID.Step]
-		key := stepKey{u.ID.Job, u.ID.Occurrence, u.ID.Step}
-		if step.MaxPerWorker > 0 && runningTasks[key] == nil {
-			runningTasks[key] = l.tasksPerWorker(js, key)
-		}
 		if u.Done || u.Active() || clock < js.Job.Due(u.ID.Occurrence)+dueMarginMs {
 			continue
 		}
@@ -117,39 +113,57 @@
 			l.noteWait(u.ID, in.Now, waitNotApplied)
 			continue
 		}
-		isReady, ok := ready[key]
-		if !ok {
-			isReady = js.Ready(u)
-			ready[key] = isReady
+		key := stepKey{u.ID.Job, u.ID.Occurrence, u.ID.Step}
+		ws := steps[key]
+		if ws == nil {
+			ws = l.waitingStep(js, u)
+			steps[key] = ws
 		}
-		if !isReady {
+		if !ws.ready {
 			continue
 		}
 		w := l.waiting(u.ID, in.Now)
 		if w.since == 0 {
-			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, in.Now)
+			w.since, w.roomSince = in.Now, l.couldRunSince(js, u, ws.dependenciesEndedAt, in.Now)
 		}
 		begin := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence))
-		age := float64(max(0, in.Now-begin)) / objective
+		age := float64(max(0, in.Now-begin)) / float64(max(1, objective))
 		in.Waiting = append(in.Waiting, &plan.WaitingUnit{
 			ID: u.ID, Run: u.Run + 1, Kind: step.Image, Service: service, Account: js.Job.Account, Priority: priority,
-			ReadySince: w.since, AcceptedAt: begin, Late: missesObjective(js, u, in.Now), Slack: l.slack(js, u, age), Age: age, Work: work[u.ID.Occurrence], Whole: onlyUnit && step.Gang,
+			ReadySince: w.since, AcceptedAt: begin, Late: in.Now+step.Estimate > begin+objective, Slack: slack.of(u.ID.Step, age), Age: age, Work: work[u.ID.Occurrence], Whole: onlyUnit && step.Gang,
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
-			MaxPerWorker: step.MaxPerWorker, RunningTasks: runningTasks[key], EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
+			MaxPerWorker: step.MaxPerWorker, RunningTasks: ws.runningTasks, EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 			RoomSince: w.roomSince, NoRoomSince: w.noRoomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning, Checkpointable: step.Checkpointable, LastAttempt: l.lastAttempt(js, u),
 		})
 	}
 }
 
-// tasksPerWorker counts the tasks of a step that run, or are about to start, on
-// each worker. The caller holds the feed's lock and l.mu.
-func (l *Leader) tasksPerWorker(js *ledger.JobState, key stepKey) map[string]int {
+// waitingStep is what the waiting units of one occurrence of a step have in common.
+type waitingStep struct {
+	ready               bool
+	dependenciesEndedAt int64          // see ledger.JobState; set if the step is ready
+	runningTasks        map[string]int // by worker; nil if any number may run there
+}
+
+// waitingStep returns what is common to the units of the unit's step. The caller holds
+// the feed's lock and l.mu.
+func (l *Leader) waitingStep(js *ledger.JobState, u *ledger.Unit) *waitingStep {
+	ws := &waitingStep{ready: js.Ready(u)}
+	if !ws.ready {
+		return ws
+	}
+	ws.dependenciesEndedAt = js.DependenciesEndedAt(u)
+	if js.Job.Steps[u.ID.Step].MaxPerWorker > 0 {
+		ws.runningTasks = l.tasksPerWorker(js, u.ID)
+	}
+	return ws
+}
+
+// tasksPerWorker counts the tasks of the unit's step that run, or are about to start,
+// on each worker. The caller holds the feed's lock and l.mu.
+func (l *Leader) tasksPerWorker(js *ledger.JobState, id ledger.UnitID) map[string]int {
 	out := make(map[string]int)
-	for i := range js.Units {
-		u := &js.Units[i]
-		if u.ID.Occurrence != key.occurrence || u.ID.Step != key.step {
-			continue
-		}
+	for u := range js.StepUnits(id.Occurrence, id.Step) {
 		for _, m := range u.Members {
 			out[m.Worker]++
 		}
@@ -165,13 +179,6 @@
 	return out
 }
 
-// missesObjective reports whether the unit, if it started now, would by its
-// estimate end after its job's objective.
-func missesObjective(js *ledger.JobState, u *ledger.Unit, now int64) bool {
-	begin := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence))
-	return now+js.Job.Steps[u.ID.Step].Estimate > begin+js.Job.Objective()
-}
-
 // jobWork returns the work of the job by occurrence.
 func jobWork(js *ledger.JobState) map[int]plan.Work {
 	perUnit := make([]float64, len(js.Job.Steps))
--- /dev/null
+++ b/internal/fleet/leader/planner_test.go
@@ -0,0 +1,121 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"jasminelane.example/lane/internal/fleet/feed"
+	"jasminelane.example/lane/internal/fleet/ledger"
+	"jasminelane.example/lane/internal/fleet/plan"
+	"jasminelane.example/lane/internal/fleet/policy"
+)
+
+// roundTest is a leader with workers that can run tasks, and a feed whose records the
+// test writes.
+type roundTest struct {
+	t      *testing.T
+	leader *Leader
+}
+
+// newRoundTest returns a leader with workers of 128 cores.
+func newRoundTest(t *testing.T, workers int) *roundTest {
+	offset := uint64(0)
+	l := testLeader()
+	l.Feed = &feed.Feed{Instance: "n", Incarnation: "1", OnApply: l.RecordApplied, Append: func(_ context.Context, b feed.Batch) (uint64, error) {
+		first := offset
+		offset += uint64(len(b.Records))
+		return first, nil
+	}}
+	l.Policy = &policy.Current{}
+	l.Policy.Set(&policy.Config{Version: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l.ctx, l.Logger = ctx, zap.NewNop()
+	for i := range workers {
+		w := l.addContacted(fmt.Sprintf("w%d", i))
+		w.listed = true
+		w.entry = WorkerEntry{ID: w.id, Service: "s", Total: plan.Resources{CPU: 128000, Memory: 256000, GPU: 8}}
+	}
+	return &roundTest{t, l}
+}
+
+// write writes a record, which is then applied.
+func (r *roundTest) write(rec ledger.Record) {
+	r.t.Helper()
+	if err := r.leader.Feed.Write(r.leader.ctx, rec); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// layers returns a job with two layers of steps, of which each step of the second
+// depends on all of the first.
+func layers(steps, tasks int) ledger.Job {
+	j := ledger.Job{ID: "a", Service: "s"}
+	for range steps {
+		j.Steps = append(j.Steps, ledger.Step{Count: 1, CPU: 4000, Estimate: 1500})
+	}
+	after := make([]int, steps)
+	for i := range after {
+		after[i] = i
+	}
+	for range steps {
+		j.Steps = append(j.Steps, ledger.Step{Count: tasks, CPU: 4000, Estimate: 1500, After: after})
+	}
+	return j
+}
+
+// equalSteps returns a job with equal steps that depend on nothing.
+func equalSteps(n int, step ledger.Step) ledger.Job {
+	j := ledger.Job{ID: "a", Service: "s"}
+	for range n {
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
+
+// Guards against planning rounds that take longer the more often a large job's steps
+// and units are multiplied with each other: other instances then claim the leadership
+// while the leader is planning, and none ever starts a task.
+func TestRoundOfWideJob(t *testing.T) {
+	const leaderTimeout = 1600 * time.Millisecond // see package feed
+	tests := []struct {
+		name string
+		job  ledger.Job
+		done int // steps that are done, each of one task
+	}{
+		{"two layers", layers(220, 70), 220},
+		{"two layers, the first waits", layers(220, 70), 0},
+		{"many small steps", equalSteps(20000, ledger.Step{Count: 1, CPU: 4000, Estimate: 1500}), 0},
+		{"many steps with a limit for each worker", equalSteps(6000, ledger.Step{Count: 3, CPU: 4000, Estimate: 1500, MaxPerWorker: 1}), 0},
+		{"one step", equalSteps(1, ledger.Step{Count: 20000, CPU: 4000, Estimate: 1500}), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoundTest(t, 48)
+			r.leader.health = newHealth(true)
+			s := ledger.NewState()
+			s.Apply(ledger.Record{Submit: &tt.job})
+			for step := range tt.done {
+				unit := ledger.UnitID{Job: "a", Step: step}
+				s.Apply(ledger.Record{Start: &ledger.Start{Epoch: 1, Unit: unit, Run: 1, Workers: []string{"w0"}}})
+				s.Apply(ledger.Record{End: &ledger.End{Epoch: 1, Unit: unit, Run: 1, Outcome: ledger.Done}})
+			}
+			r.write(ledger.Record{Rewrite: s.Jobs["a"]})
+			for range 2 { // the first round of a leader computes more than the others
+				began := time.Now()
+				r.leader.plan()
+				took := time.Since(began)
+				t.Log(took)
+				is.True(took < leaderTimeout)
+				is.True(len(r.leader.proposedStarts) > 0)
+				clear(r.leader.proposedStarts)
+			}
+		})
+	}
+}
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -84,10 +84,10 @@
 // the time at which this leader first saw it waiting, with the pause if its task
 // lasts, or the time that follows from the state if the unit waited before this
 // leader's first round. The caller holds l.mu.
-func (l *Leader) couldRunSince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
+func (l *Leader) couldRunSince(js *ledger.JobState, u *ledger.Unit, dependenciesEndedAt, now int64) int64 {
 	switch {
 	case l.round == 0:
-		return readySince(js, u, now)
+		return readySince(js, u, dependenciesEndedAt, now)
 	case js.Job.Steps[u.ID.Step].LongRunning:
 		return now
 	}
@@ -98,18 +98,11 @@
 // state: when its job was accepted, it was due, the steps before it ended and its
 // last run ended, with the pause if its task lasts. The times are those of several
 // instances' clocks; the result is at most MaxChoiceWaitMs before now.
-func readySince(js *ledger.JobState, u *ledger.Unit, now int64) int64 {
-	since := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence), u.RunEndedAt)
-	step := &js.Job.Steps[u.ID.Step]
-	if step.LongRunning {
+func readySince(js *ledger.JobState, u *ledger.Unit, dependenciesEndedAt, now int64) int64 {
+	since := max(js.Job.AcceptedAt, js.Job.Due(u.ID.Occurrence), dependenciesEndedAt, u.RunEndedAt)
+	if js.Job.Steps[u.ID.Step].LongRunning {
 		since = max(since, u.RunEndedAt+pauseOf(js, u))
 	}
-	for i := range js.Units {
-		before := &js.Units[i]
-		if before.ID.Occurrence == u.ID.Occurrence && slices.Contains(step.After, before.ID.Step) {
-			since = max(since, before.RunEndedAt)
-		}
-	}
 	return max(min(since, now), now-plan.MaxChoiceWaitMs)
 }
 
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -59,6 +59,13 @@
 	return s.Jobs["a"]
 }
 
+// rewritten returns the job as a state has it after it was rewritten.
+func rewritten(js *ledger.JobState) *ledger.JobState {
+	s := ledger.NewState()
+	s.Apply(ledger.Record{Rewrite: js})
+	return s.Jobs[js.Job.ID]
+}
+
 // Guards against a wait that begins anew with each leader or after a pause, and against one that clocks which differ make longer.
 func TestReadySince(t *testing.T) {
 	const now = 100_000
@@ -81,7 +88,9 @@
 			is := is.New(t)
 			js := waitingJob(now - 1500)
 			tt.change(js)
-			is.Equal(readySince(js, &js.Units[2*tt.step], now), tt.want)
+			js = rewritten(js)
+			u := &js.Units[2*tt.step]
+			is.Equal(readySince(js, u, js.DependenciesEndedAt(u), now), tt.want)
 		})
 	}
 }
@@ -105,7 +114,7 @@
 			js := waitingJob(now - 1500)
 			u := &js.Units[2*tt.step]
 			l := &Leader{round: tt.round, waits: map[ledger.UnitID]*unitWait{u.ID: {began: now - 1000}}}
-			is.Equal(l.couldRunSince(js, u, now), tt.want)
+			is.Equal(l.couldRunSince(js, u, js.DependenciesEndedAt(u), now), tt.want)
 		})
 	}
 }
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -191,6 +191,7 @@
 		s.UndoneUnits--
 		u.FailedOn, u.Lost = nil, nil
 	}
+	s.steps.noteEnd(u)
 	s.endIfDecided(u, r)
 }
 
@@ -236,6 +237,7 @@
 		}
 	}
 	js := *c
+	js.steps = newStepIndex(&js)
 	s.Jobs[js.Job.ID] = &js
 	return true
 }
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -63,6 +63,8 @@
 	Units       []Unit `cbor:"3,keyasint,omitempty"`
 	EndedAt     int64  `cbor:"4,keyasint,omitempty"` // Unix ms
 	UndoneUnits int    `cbor:"5,keyasint,omitempty"` // units that are not done
+
+	steps *stepIndex // nil if the units are listed in an unknown order
 }
 
 // Width returns the number of tasks of the unit: 1, or the size of the gang.
@@ -74,54 +76,6 @@
 	return 1
 }
 
-// Unit returns the unit with the given ID, or nil.
-func (s *JobState) Unit(id UnitID) *Unit {
-	if i := s.unitIndex(id); i >= 0 && i < len(s.Units) && s.Units[i].ID == id {
-		return &s.Units[i]
-	}
-	// A job of another version of the program may list its units otherwise.
-	for i := range s.Units {
-		if s.Units[i].ID == id {
-			return &s.Units[i]
-		}
-	}
-	return nil
-}
-
-// unitIndex returns the index of a unit in the order of newJobState.
-func (s *JobState) unitIndex(id UnitID) int {
-	perOccurrence, before := 0, 0
-	for i := range s.Job.Steps {
-		if i == id.Step {
-			before = perOccurrence
-		}
-		perOccurrence += s.Job.Steps[i].units()
-	}
-	return id.Occurrence*perOccurrence + before + id.Index
-}
-
-// StepDone reports whether all tasks of one occurrence of a step are done.
-func (s *JobState) StepDone(occurrence, step int) bool {
-	for i := range s.Units {
-		u := &s.Units[i]
-		if u.ID.Occurrence == occurrence && u.ID.Step == step && !u.Done {
-			return false
-		}
-	}
-	return true
-}
-
-// Ready reports whether the steps on which the step of the unit depends are done
-// for the occurrence of the unit.
-func (s *JobState) Ready(u *Unit) bool {
-	for _, before := range s.Job.Steps[u.ID.Step].After {
-		if !s.StepDone(u.ID.Occurrence, before) {
-			return false
-		}
-	}
-	return true
-}
-
 // Active reports whether any unit of the job has a run that has not ended.
 func (s *JobState) Active() bool {
 	for i := range s.Units {
@@ -143,6 +97,7 @@
 		}
 	}
 	s.UndoneUnits = len(s.Units)
+	s.steps = newStepIndex(s)
 	return s
 }
 
