Decide a planning round without holding a lock

Cause: a planning round held the locks of the feed and of the leader from its first look at the state to its last decision.

Change: the round reads its input under the locks, decides without them, and takes them again to carry its decisions out. Starts whose job, unit or workers have changed meanwhile are dropped and planned again at once. A round that ends after its epoch changes nothing.

Tests: TestRoundHoldsNoLock, TestOutdatedPlacement, TestRoundAfterEpoch. Decide is a seam of the leader for them, so that they fail before this change by not compiling; with the lock held around Decide the first one fails after its 5 s.

--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -35,6 +35,9 @@
 	// planDebounce. Events that arrive meanwhile are handled in one round.
 	PlanPause time.Duration
 
+	// Decide plans a round; nil means plan.Decide.
+	Decide func(plan.Input) plan.Output
+
 	// WorkerHealth lets the planner use what is known of workers over all jobs.
 	WorkerHealth bool
 
@@ -135,6 +138,9 @@
 		l.contention = contention.NewLearner()
 	}
 	l.health = newHealth(l.WorkerHealth)
+	if l.Decide == nil {
+		l.Decide = plan.Decide
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range entries {
--- a/internal/fleet/leader/planinput.go
+++ b/internal/fleet/leader/planinput.go
@@ -9,8 +9,8 @@
 	"jasminelane.example/lane/internal/fleet/policy"
 )
 
-// planInput returns the planner's view of the state. The caller holds the
-// feed's lock and l.mu.
+// planInput returns the planner's view of the state, which does not change with it. The
+// caller holds the feed's lock and l.mu.
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
 	in := plan.Input{Now: l.now()}
@@ -132,7 +132,7 @@
 			ID: u.ID, Run: u.Run + 1, Kind: step.Image, Service: service, Account: js.Job.Account, Priority: priority,
 			ReadySince: w.since, AcceptedAt: begin, Late: in.Now+step.Estimate > begin+objective, Slack: slack.of(u.ID.Step, age), Age: age, Work: work[u.ID.Occurrence], Whole: onlyUnit && step.Gang,
 			Width: js.Width(u), Need: taskNeed(step), Label: step.Label, Rack: step.Rack, SameRack: step.SameRack,
-			MaxPerWorker: step.MaxPerWorker, RunningTasks: ws.runningTasks, EstimateMs: step.Estimate, AvoidWorkers: u.FailedOn, Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
+			MaxPerWorker: step.MaxPerWorker, RunningTasks: ws.runningTasks, EstimateMs: step.Estimate, AvoidWorkers: slices.Clone(u.FailedOn), Guaranteed: guaranteed, CrashSuspect: u.CrashSuspect(),
 			RoomSince: w.roomSince, NoRoomSince: w.noRoomSince, TriedAt: w.triedAt, JobIdle: idle, Lasting: step.LongRunning, Checkpointable: step.Checkpointable, LastAttempt: l.lastAttempt(js, u),
 		})
 	}
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"jasminelane.example/lane/internal/fleet/delay"
 	"jasminelane.example/lane/internal/fleet/ledger"
 	"jasminelane.example/lane/internal/fleet/plan"
+	"jasminelane.example/lane/internal/fleet/policy"
 )
 
 const (
@@ -68,39 +70,92 @@
 	if cfg == nil {
 		return
 	}
-	var in plan.Input
+	in := l.beginRound(cfg)
+	// Deciding holds no lock: with many units it takes long, and heartbeats, reads of
+	// the log and answers to callers must not wait for it.
 	var out plan.Output
+	if len(in.Waiting) > 0 {
+		out = l.Decide(in)
+	}
+	if l.ctx.Err() != nil {
+		return
+	}
+	l.Feed.Propose(l.Epoch, l.endRound(in, out)...)
+}
+
+// beginRound returns the input of a planning round.
+func (l *Leader) beginRound(cfg *policy.Config) plan.Input {
+	var in plan.Input
 	l.Feed.View(func(s *ledger.State) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		in = l.planInput(s, cfg)
-		defer l.endRound(in.Now)
+	})
+	return in
+}
+
+// endRound carries out the decisions of a planning round, and returns the records of
+// its starts.
+func (l *Leader) endRound(in plan.Input, out plan.Output) []ledger.Record {
+	var records []ledger.Record
+	l.Feed.View(func(s *ledger.State) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		defer l.endWaits(in.Now)
 		defer l.summarize(s, time.Now())
 		if len(in.Waiting) == 0 {
 			return
 		}
-		out = plan.Decide(in)
 		l.tally.headroom = max(l.tally.headroom, out.Headroom)
+		out.Placements = l.dropOutdated(s, out.Placements, in.Now)
 		planned := out.Placements
 		out.Placements = l.pacer.admit(out.Placements, in.Now, l.startBacklog(s), func(st plan.Placement) int64 {
 			return int64(len(st.Workers)) * startSize(s, st.Unit.ID)
 		})
 		l.recordDecisions(out, in)
 		l.notePlan(in, out, planned)
+		for _, st := range out.Placements {
+			start := l.proposedStarts[st.Unit.ID]
+			records = append(records, ledger.Record{Start: &start})
+		}
 	})
-	var records []ledger.Record
-	for _, st := range out.Placements {
-		records = append(records, ledger.Record{Start: l.startRecord(st)})
+	return records
+}
+
+// dropOutdated returns the placements that are still possible, although records and
+// reports may have arrived since the input of the round was read. The caller holds the
+// feed's lock and l.mu.
+func (l *Leader) dropOutdated(s *ledger.State, placements []plan.Placement, now int64) []plan.Placement {
+	if len(placements) == 0 {
+		return nil
+	}
+	orphaned := l.orphanUnits(s)
+	return slices.DeleteFunc(placements, func(st plan.Placement) bool {
+		id := st.Unit.ID
+		if !orphaned[id] && l.canStart(s, id) && !slices.ContainsFunc(st.Workers, l.unsuitable) {
+			return false
+		}
+		l.noteWait(id, now, waitOutdated)
+		l.wakePlanner()
+		return true
+	})
+}
+
+// canStart reports whether the state lets the unit start, and no run of it has been
+// reported. The caller holds the feed's lock and l.mu.
+func (l *Leader) canStart(s *ledger.State, id ledger.UnitID) bool {
+	js := s.Jobs[id.Job]
+	if js == nil || js.Phase.Final() || l.runReturned(id) {
+		return false
 	}
-	l.Feed.Propose(l.Epoch, records...)
+	u := js.Unit(id)
+	return u != nil && !u.Done && !u.Active()
 }
 
-// startRecord returns a copy of the proposed start of the unit.
-func (l *Leader) startRecord(st plan.Placement) *ledger.Start {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r := l.proposedStarts[st.Unit.ID]
-	return &r
+// unsuitable reports whether no new runs may start on the worker. The caller holds l.mu.
+func (l *Leader) unsuitable(id string) bool {
+	w := l.workers[id]
+	return !w.usable(time.Now()) || l.Policy.Evacuated(w.entry.Zone)
 }
 
 // startSize returns the approximate size in bytes of the request that starts a
--- a/internal/fleet/leader/planner_test.go
+++ b/internal/fleet/leader/planner_test.go
@@ -119,3 +119,87 @@
 		})
 	}
 }
+
+// Guards against heartbeats, reads of the log and answers to callers that wait until a
+// long planning round ends.
+func TestRoundHoldsNoLock(t *testing.T) {
+	is := is.New(t)
+	r := newRoundTest(t, 1)
+	r.write(ledger.Record{Submit: &ledger.Job{ID: "a", Service: "s", Steps: []ledger.Step{{Count: 1}}}})
+	free := false
+	r.leader.Decide = func(in plan.Input) plan.Output {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.leader.Feed.Status()
+			r.leader.mu.Lock()
+			defer r.leader.mu.Unlock()
+		}()
+		select {
+		case <-done:
+			free = true
+		case <-time.After(5 * time.Second):
+		}
+		return plan.Decide(in)
+	}
+	r.leader.plan()
+	is.True(free)
+	is.Equal(len(r.leader.proposedStarts), 1)
+}
+
+// Guards against a start that is decided from a state that has changed during the
+// planning round.
+func TestOutdatedPlacement(t *testing.T) {
+	unit := ledger.UnitID{Job: "a"}
+	tests := []struct {
+		name   string
+		change func(r *roundTest)
+		starts int
+	}{
+		{"nothing", func(*roundTest) {}, 1},
+		{"job cancelled", func(r *roundTest) { r.write(ledger.Record{Cancel: &ledger.Cancel{ID: "a"}}) }, 0},
+		{"unit started", func(r *roundTest) {
+			r.write(ledger.Record{Start: &ledger.Start{Epoch: 1, Unit: unit, Run: 1, Workers: []string{"v"}}})
+		}, 0},
+		{"run reported that the state does not have", func(r *roundTest) {
+			w := r.leader.addContacted("v")
+			r.leader.applyReport(w, Report{Incarnation: 1, Running: []RunningTask{{Task: TaskID{Job: "a"}, Run: 1}}}, r.leader.exchange(w, time.Now()))
+		}, 0},
+		{"worker drains", func(r *roundTest) {
+			w := r.leader.workers["w0"]
+			w.entry.Draining = true
+		}, 0},
+		{"worker does not answer", func(r *roundTest) { r.leader.workers["w0"].unresponsive = true }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoundTest(t, 1)
+			r.write(ledger.Record{Submit: &ledger.Job{ID: "a", Service: "s", Steps: []ledger.Step{{Count: 1}}}})
+			r.leader.Decide = func(in plan.Input) plan.Output {
+				out := plan.Decide(in)
+				is.Equal(len(out.Placements), 1)
+				tt.change(r)
+				return out
+			}
+			r.leader.plan()
+			is.Equal(len(r.leader.proposedStarts), tt.starts)
+		})
+	}
+}
+
+// Guards against a leader that goes on planning, and stops runs, after its epoch has
+// ended.
+func TestRoundAfterEpoch(t *testing.T) {
+	is := is.New(t)
+	r := newRoundTest(t, 1)
+	r.write(ledger.Record{Submit: &ledger.Job{ID: "a", Service: "s", Steps: []ledger.Step{{Count: 1}}}})
+	ctx, cancel := context.WithCancel(r.leader.ctx)
+	r.leader.ctx = ctx
+	r.leader.Decide = func(in plan.Input) plan.Output {
+		cancel()
+		return plan.Decide(in)
+	}
+	r.leader.plan()
+	is.Equal(len(r.leader.proposedStarts), 0)
+}
--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -20,6 +20,7 @@
 	waitReturned   plan.WaitCause = "run reported again"
 	waitNotApplied plan.WaitCause = "start not in the log yet"
 	waitPaced      plan.WaitCause = "link busy with starts"
+	waitOutdated   plan.WaitCause = "state changed during planning"
 )
 
 const (
@@ -172,9 +173,9 @@
 	}
 }
 
-// endRound forgets the units that did not wait in this round, and logs what keeps
+// endWaits forgets the units that did not wait in this round, and logs what keeps
 // those that have waited for long. The caller holds l.mu.
-func (l *Leader) endRound(now int64) {
+func (l *Leader) endWaits(now int64) {
 	mayLog := now < l.waitsLoggedAt || now >= l.waitsLoggedAt+waitLogPauseMs
 	var due []ledger.UnitID
 	for unit, w := range l.waits {
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -27,7 +27,7 @@
 		if now < 900 {
 			l.noteWait(ledger.UnitID{Job: "short"}, now, waitPause)
 		}
-		l.endRound(now)
+		l.endWaits(now)
 	}
 	var got []string
 	for _, e := range lines.All() {
@@ -47,7 +47,7 @@
 		for i := range 1000 {
 			l.noteWait(ledger.UnitID{Job: "a", Index: i}, now, waitPaced)
 		}
-		l.endRound(now)
+		l.endWaits(now)
 	}
 	is.Equal(lines.Len(), 4*maxWaitLines)
 }
