Store the cancellation of a job that is not known yet

Cause: an instance that did not know a job answered 410 and wrote nothing. A submission whose append got no answer may be carried out by the store seconds later, and then was like any other.

Change: such a cancellation is appended to the log before the answer, and the state keeps it. A submission that follows it in the log but was received before it adds the job as cancelled. A submission was received later if its instance had read beyond the cancellation by then, or else by its clock, so that an id can be submitted again on purpose. A second copy of the record has no effect.

submitOnce of the tests of a slow store moves to the cluster, for use in both tests; it sends the same request as before.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -333,6 +333,7 @@
 		f.Logger.Warn("record skipped: it could not be decoded", zap.Uint64("offset", offset), zap.Error(err))
 		return
 	}
+	r.Offset = offset
 	epoch := f.state.Epoch
 	effective := f.state.Apply(r)
 	if f.state.Epoch > epoch {
--- a/internal/fleet/instance/cluster_test.go
+++ b/internal/fleet/instance/cluster_test.go
@@ -362,16 +362,8 @@
 
 // submitTo is like submit with another configuration.
 func (c *cluster) submitTo(cfg *policy.Config, n *node, j ledger.Job) bool {
-	route := cfg.MatchRoute("lane", fmt.Sprintf("/%d/", j.Priority))
-	c.workers.WithLock(func() {
-		j.Attempts = route.Attempts
-		c.rules.Jobs[j.ID] = j
-	})
 	for range 40 {
-		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-		res := n.instance().Intake.Submit(ctx, cfg, route, "schools", j)
-		cancel()
-		if res.Outcome == intake.Accepted {
+		if c.requestSubmission(cfg, n, j) == intake.Accepted {
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -380,6 +372,24 @@
 	return false
 }
 
+// requestSubmission submits a job to an instance with one request, which has the
+// deadline of a caller.
+func (c *cluster) requestSubmission(cfg *policy.Config, n *node, j ledger.Job) intake.Outcome {
+	route := cfg.MatchRoute("lane", fmt.Sprintf("/%d/", j.Priority))
+	c.workers.WithLock(func() {
+		j.Attempts = route.Attempts
+		c.rules.Jobs[j.ID] = j
+	})
+	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+	defer cancel()
+	return n.instance().Intake.Submit(ctx, cfg, route, "schools", j).Outcome
+}
+
+// submitOnce submits a job to an instance, without a retry.
+func (c *cluster) submitOnce(n *node, j ledger.Job) intake.Outcome {
+	return c.requestSubmission(config(), n, j)
+}
+
 // cancel requests the cancellation of a job from an instance and returns the
 // outcome.
 func (c *cluster) cancel(n *node, id string) string {
--- a/internal/fleet/instance/history_test.go
+++ b/internal/fleet/instance/history_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jasminelane.example/lane/internal/fleet/fleettest"
+	"jasminelane.example/lane/internal/fleet/intake"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -137,6 +138,7 @@
 
 	checkStill bool // also check that no job stands still
 	cutDomains bool // also cut off failure domains
+	givesUp    bool // callers submit once, and cancel what was not accepted
 }
 
 // faultWindow is the period in which faults begin.
@@ -368,6 +370,10 @@
 		go func() {
 			defer func() { h.submitted <- struct{}{} }()
 			time.Sleep(at)
+			if h.givesUp {
+				h.submitOrGiveUp(from, j)
+				return
+			}
 			ok := h.c.submit(from, j)
 			h.c.workers.WithLock(func() {
 				h.accepted[j.ID] = ok
@@ -384,6 +390,15 @@
 	time.Sleep(faultWindow + 11*time.Second) // until the last fault has ended
 }
 
+// submitOrGiveUp submits a job once, and cancels it if it was not accepted.
+func (h *history) submitOrGiveUp(n *node, j ledger.Job) {
+	ok := h.c.submitOnce(n, j) == intake.Accepted
+	h.c.workers.WithLock(func() { h.accepted[j.ID] = ok })
+	if !ok {
+		h.cancel(j.ID)
+	}
+}
+
 // cancel requests the cancellation of a job until the request is accepted or the
 // job has ended, at most 20 times.
 func (h *history) cancel(id string) {
@@ -396,6 +411,9 @@
 			h.c.workers.WithLock(func() { h.c.rules.Cancelled[id] = at })
 			return
 		case "gone":
+			if at := time.Now(); h.givesUp {
+				h.c.workers.WithLock(func() { h.c.rules.Cancelled[id] = at })
+			}
 			return
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/internal/fleet/instance/slowstore_test.go
+++ b/internal/fleet/instance/slowstore_test.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -24,18 +23,6 @@
 	claims     int // attempts, of all instances
 }
 
-// submitOnce submits a job to an instance, with the deadline of a caller and
-// without a retry.
-func (c *cluster) submitOnce(n *node, id string) intake.Outcome {
-	j := job(id, ledger.Step{Count: 1, GPU: 1, Estimate: 300})
-	j.Attempts = config().Routes[0].Attempts
-	c.workers.WithLock(func() { c.rules.Jobs[id] = j })
-	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-	defer cancel()
-	cfg := config()
-	return n.instance().Intake.Submit(ctx, cfg, cfg.MatchRoute("lane", "/1/"), "schools", j).Outcome
-}
-
 // playSlow delays each answer of the log for the duration of span, submits a job
 // in each period to the instances in turn, and injects a fault at the begin.
 func (c *cluster) playSlow(latency, span, period time.Duration, injectFault func(c *cluster)) slowPeriod {
@@ -62,7 +49,9 @@
 				n = c.nodes[(submitted+1)%len(c.nodes)] // at most one is dead
 			}
 			id := fmt.Sprintf("s%d", submitted)
-			go func() { results <- c.submitOnce(n, id) }()
+			j := job(id, ledger.Step{Count: 1, GPU: 1, Estimate: 300})
+			j.Priority = 1
+			go func() { results <- c.submitOnce(n, j) }()
 			submitted++
 		}
 		time.Sleep(step)
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -111,7 +111,7 @@
 func (n *Intake) Submit(ctx context.Context, cfg *policy.Config, route *policy.Route, account string, j ledger.Job) Result {
 	j.Queue, j.Service, j.Account = route.Name, route.Service, account
 	j.Priority, j.Attempts, j.Stretch, j.Target = route.Priority, route.Attempts, route.Stretch, route.Target
-	j.AcceptedAt, j.Instance = n.now().UnixMilli(), n.Node
+	j.AcceptedAt, j.Instance, j.Seen = n.now().UnixMilli(), n.Node, n.Feed.Status().Next
 	stored := func(s *ledger.State) bool { return s.Jobs[j.ID] != nil }
 	res := n.appendRecord(ctx, ledger.Record{Submit: &j}, stored)
 	n.Logger.Info("submit", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.String("account", account), zap.Int64("config", cfg.Version),
@@ -119,23 +119,38 @@
 	return res
 }
 
-// Cancel appends the cancellation of a job to the log.
+// Cancel appends the cancellation of a job to the log, also if no such job is known:
+// its submission may still be stored, and must then have no effect.
 func (n *Intake) Cancel(ctx context.Context, id string) Result {
 	phase, err := n.lookUp(ctx, id)
 	res := Result{Outcome: Accepted, Cause: "known"}
 	switch {
 	case err != nil:
 		res = Result{NotStored, "log unavailable", n.retryAfter()}
-	case phase == "" || phase == ledger.Finished || phase == ledger.JobFailed:
+	case phase == ledger.Finished || phase == ledger.JobFailed:
 		res = Result{Outcome: Gone, Cause: string(phase)}
 	case phase != ledger.Cancelled:
-		stored := func(s *ledger.State) bool { return s.Jobs[id] != nil && s.Jobs[id].Phase == ledger.Cancelled }
-		res = n.appendRecord(ctx, ledger.Record{Cancel: &ledger.Cancel{ID: id, At: n.now().UnixMilli()}}, stored)
+		res = n.appendCancel(ctx, ledger.Cancel{ID: id, At: n.now().UnixMilli()})
+	}
+	if res.Outcome == Accepted && phase == "" && n.localPhase(id) != ledger.Cancelled {
+		res = Result{Outcome: Gone, Cause: "cancelled before it was known"}
 	}
 	n.Logger.Info("cancel", zap.String("job", id), zap.String("phase", string(phase)), zap.Stringer("fate", res.Outcome), zap.String("cause", res.Cause))
 	return res
 }
 
+// appendCancel appends a cancellation to the log.
+func (n *Intake) appendCancel(ctx context.Context, c ledger.Cancel) Result {
+	stored := func(s *ledger.State) bool {
+		if js := s.Jobs[c.ID]; js != nil {
+			return js.Phase == ledger.Cancelled
+		}
+		early, ok := s.EarlyCancel(c.ID)
+		return ok && early.Cancel == c
+	}
+	return n.appendRecord(ctx, ledger.Record{Cancel: &c}, stored)
+}
+
 // Phase returns the phase of a job. The phase is empty if there is no such
 // job. It returns an error if it cannot tell whether the job exists.
 func (n *Intake) Phase(ctx context.Context, id string) (ledger.Phase, error) {
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -302,7 +302,9 @@
 	case r.Resume != nil && r.Resume.Epoch == l.Epoch:
 		l.applyResume(s, r.Resume, effective)
 	case r.Cancel != nil && effective:
-		l.stopJob(s.Jobs[r.Cancel.ID], "cancelled")
+		if js := s.Jobs[r.Cancel.ID]; js != nil {
+			l.stopJob(js, "cancelled")
+		}
 	case r.Submit != nil && effective:
 		l.wakePlanner()
 	}
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -10,7 +10,7 @@
 	case r.Submit != nil:
 		return s.applySubmit(*r.Submit)
 	case r.Cancel != nil:
-		return s.applyCancel(*r.Cancel)
+		return s.applyCancel(*r.Cancel, r.Offset)
 	case r.Start != nil:
 		return s.applyStart(*r.Start)
 	case r.End != nil:
@@ -75,24 +75,17 @@
 	s.NoLeader = false
 }
 
-// applySubmit adds a job unless one with the same ID exists.
+// applySubmit adds a job unless one with the same ID exists. It is cancelled if it was
+// submitted before a cancellation that is already stored.
 func (s *State) applySubmit(j Job) bool {
 	if _, ok := s.Jobs[j.ID]; ok {
 		return false
 	}
-	s.Jobs[j.ID] = newJobState(j)
-	return true
-}
-
-// applyCancel cancels a job that is not in a final phase.
-func (s *State) applyCancel(c Cancel) bool {
-	js := s.Jobs[c.ID]
-	if js == nil || js.Phase.Final() {
-		return false
+	if c, ok := s.early.byJob[j.ID]; ok && !c.precedes(&j) {
+		s.Jobs[j.ID] = newCancelledJob(j, c.Cancel)
+		return true
 	}
-	js.Phase = Cancelled
-	js.EndedAt = c.At
-	js.forgetLost()
+	s.Jobs[j.ID] = newJobState(j)
 	return true
 }
 
@@ -243,8 +236,9 @@
 }
 
 // DropEnded deletes the jobs that ended before the given Unix time in ms and
-// have no active run.
+// have no active run, and the early cancellations before that time.
 func (s *State) DropEnded(before int64) {
+	s.early.dropBefore(before)
 	for id, js := range s.Jobs {
 		if js.Phase.Final() && js.EndedAt < before && !js.Active() {
 			delete(s.Jobs, id)
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -6,7 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Record is one entry of the log. Exactly one of its fields is set.
+// Record is one entry of the log. Exactly one of its fields, besides Offset, is set.
 type Record struct {
 	Claim     *Claim        `cbor:"1,keyasint,omitempty"`
 	Submit    *Job          `cbor:"2,keyasint,omitempty"`
@@ -18,6 +18,8 @@
 	Rewrite   *JobState     `cbor:"8,keyasint,omitempty"`
 	Join      *Join         `cbor:"9,keyasint,omitempty"`
 	Resume    *Resume       `cbor:"10,keyasint,omitempty"`
+
+	Offset uint64 `cbor:"-"` // in the log; set when the record is read from there
 }
 
 // Join publishes the address at which other instances reach an instance, and what
--- a/internal/fleet/ledger/snapshot.go
+++ b/internal/fleet/ledger/snapshot.go
@@ -24,6 +24,7 @@
 	Peers         map[string]string `cbor:"6,keyasint"`
 	Jobs          []JobState        `cbor:"7,keyasint"`
 	Joins         map[string]Join   `cbor:"8,keyasint,omitempty"` // absent in snapshots of earlier versions
+	EarlyCancels  []EarlyCancel     `cbor:"9,keyasint,omitempty"` // in the order of the log; absent in snapshots of earlier versions
 }
 
 // snapshotDecMode is like decMode but permits as many jobs as a state may hold.
@@ -39,7 +40,7 @@
 // have ended and have no active run only what callers may ask for is kept. It
 // fails with *CodecError.
 func (s *State) MarshalSnapshot(next uint64) ([]byte, error) {
-	n := Snapshot{Next: next, Epoch: s.Epoch, Leader: s.Leader, NoLeader: s.NoLeader, LeaderRecords: s.LeaderRecords, Peers: s.Peers, Joins: s.Joins}
+	n := Snapshot{Next: next, Epoch: s.Epoch, Leader: s.Leader, NoLeader: s.NoLeader, LeaderRecords: s.LeaderRecords, Peers: s.Peers, Joins: s.Joins, EarlyCancels: s.early.list()}
 	n.Jobs = make([]JobState, 0, len(s.Jobs))
 	for _, js := range s.Jobs {
 		if js.Phase.Final() && !js.Active() {
@@ -97,6 +98,9 @@
 	for name, j := range n.Joins {
 		s.Joins[name] = j
 	}
+	for _, c := range n.EarlyCancels {
+		s.early.add(c)
+	}
 	for i := range n.Jobs {
 		s.applyRewrite(&n.Jobs[i])
 	}
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -111,6 +111,8 @@
 	LeaderRecords uint64            // number of claims and other records of the then newest epoch
 	Peers         map[string]string // address of each instance by its name
 	Joins         map[string]Join   // newest one of each instance by its name
+
+	early earlyCancels
 }
 
 // NewState returns the state for an empty log.
