Find the longest waits without sorting all of them

Cause: twice a second a planning round sorted all units that wait for over a second, and logged eight of them. Its share of the round grows faster than the queue, and is computed under the locks of the feed and the leader.

Change: the round keeps the eight units that wait the longest.

--- a/internal/fleet/leader/wait.go
+++ b/internal/fleet/leader/wait.go
@@ -177,7 +177,7 @@
 // those that have waited for long. The caller holds l.mu.
 func (l *Leader) endWaits(now int64) {
 	mayLog := now < l.waitsLoggedAt || now >= l.waitsLoggedAt+waitLogPauseMs
-	var due []ledger.UnitID
+	var due dueWaits
 	for unit, w := range l.waits {
 		if w.round != l.round {
 			delete(l.waits, unit)
@@ -187,7 +187,7 @@
 			w.reservedSince = 0
 		}
 		if mayLog && w.dueForLog(now) {
-			due = append(due, unit)
+			due.add(dueWait{unit, w.began})
 		}
 	}
 	l.round++
@@ -195,17 +195,38 @@
 		return
 	}
 	l.waitsLoggedAt = now
-	slices.SortFunc(due, func(a, b ledger.UnitID) int {
-		return cmp.Or(cmp.Compare(l.waits[a].began, l.waits[b].began), cmp.Compare(a.Job, b.Job),
-			cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-	})
 	usable, others := l.countUsable(time.Now())
 	workers := []zap.Field{zap.Int("workers", usable), zap.String("unusable", others)}
-	for _, unit := range due[:min(len(due), maxWaitLines)] {
-		l.logWait(unit, now, workers)
+	for _, d := range due {
+		l.logWait(d.unit, now, workers)
 	}
 }
 
+// dueWait is a unit of which a line is due, and when it was first seen waiting, Unix ms.
+type dueWait struct {
+	unit  ledger.UnitID
+	began int64
+}
+
+// compare orders units by how long they wait, the longest first.
+func (d dueWait) compare(o dueWait) int {
+	return cmp.Or(cmp.Compare(d.began, o.began), cmp.Compare(d.unit.Job, o.unit.Job),
+		cmp.Compare(d.unit.Occurrence, o.unit.Occurrence), cmp.Compare(d.unit.Step, o.unit.Step), cmp.Compare(d.unit.Index, o.unit.Index))
+}
+
+// dueWaits are the maxWaitLines units that wait the longest, in order.
+type dueWaits []dueWait
+
+// add adds a unit if it is one of them.
+func (s *dueWaits) add(d dueWait) {
+	if len(*s) == maxWaitLines && (*s)[maxWaitLines-1].compare(d) <= 0 {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(*s, d, dueWait.compare)
+	*s = slices.Insert(*s, i, d)
+	*s = (*s)[:min(len(*s), maxWaitLines)]
+}
+
 // dueForLog reports whether a line about the unit is due.
 func (w *unitWait) dueForLog(now int64) bool {
 	if now-w.began < minLoggedWaitMs {
--- a/internal/fleet/leader/wait_test.go
+++ b/internal/fleet/leader/wait_test.go
@@ -52,6 +52,22 @@
 	is.Equal(lines.Len(), 4*maxWaitLines)
 }
 
+// Guards against lines about other units than those that wait the longest.
+func TestLongestWaitsAreLogged(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	l := &Leader{Logger: zap.New(core), waits: make(map[ledger.UnitID]*unitWait)}
+	for i := range 100 {
+		l.noteWait(ledger.UnitID{Job: "a", Index: i}, int64(1000-i), waitPaced)
+	}
+	l.endWaits(3000)
+	var got []string
+	for _, e := range lines.All() {
+		got = append(got, fmt.Sprint(e.ContextMap()["unit"]))
+	}
+	is.Equal(got, []string{"a.0.0.99", "a.0.0.98", "a.0.0.97", "a.0.0.96", "a.0.0.95", "a.0.0.94", "a.0.0.93", "a.0.0.92"})
+}
+
 // waitingJob returns a job with two steps, the second of which follows the first and lasts.
 func waitingJob(acceptedAt int64) *ledger.JobState {
 	s := ledger.NewState()
