Keep records that the log never accepts out of appends

Callers see nothing of it with the sites' jobs. With a job whose record is larger than the log accepts (`platform.recordBytes` of the settings), or a job of many tasks that is rewritten, the append is refused each time.

Cause: the leader repeats a refused append for as long as it leads, with all other records of the batch behind it; a submission was tried six times and answered 503 as if it could be accepted later; one large job kept the other jobs of its batch from being rewritten.

Change: the feed knows the size. A rewrite has at most about 512 KiB.

--- a/internal/fleet/feed/commit.go
+++ b/internal/fleet/feed/commit.go
@@ -107,6 +107,25 @@
 	return t.C, t.Stop
 }
 
+// Encode returns the record as it is stored in the log. It fails with
+// *ledger.CodecError, or with *RecordSizeError if the log does not accept it.
+func (f *Feed) Encode(r ledger.Record) ([]byte, error) {
+	data, err := ledger.Encode(r)
+	if err != nil {
+		return nil, err
+	}
+	return data, f.checkSize(data)
+}
+
+// checkSize returns *RecordSizeError if the log does not accept an encoded record. An
+// append with such a record would be repeated, and keep all later ones from the log.
+func (f *Feed) checkSize(data []byte) error {
+	if f.MaxRecordBytes > 0 && len(data) > f.MaxRecordBytes {
+		return &RecordSizeError{len(data), f.MaxRecordBytes}
+	}
+	return nil
+}
+
 // leaderBatch is the content of one append of the leader.
 type leaderBatch struct {
 	records   [][]byte
@@ -122,9 +141,9 @@
 	for len(t.queue) > 0 && len(out.records) < maxBatchRecords && size < maxBatchBytes {
 		r := t.queue[0]
 		t.queue = t.queue[1:]
-		data, err := ledger.Encode(r)
+		data, err := f.Encode(r)
 		if err != nil {
-			f.Logger.Error("record dropped: it could not be encoded", zap.Error(err))
+			f.Logger.Error("record dropped: it cannot be stored", zap.Error(err))
 			continue
 		}
 		size += len(data)
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -78,6 +78,10 @@
 	// Retention is how long the log keeps a record; 0 is unlimited.
 	Retention time.Duration
 
+	// MaxRecordBytes is the size of the largest record that the log accepts; 0 is
+	// unknown.
+	MaxRecordBytes int
+
 	// MinSnapshotLag is the smallest size in bytes of the records since the last
 	// snapshot at which another one is written; default 256 KiB.
 	MinSnapshotLag int
--- a/internal/fleet/feed/forward.go
+++ b/internal/fleet/feed/forward.go
@@ -67,6 +67,9 @@
 	if !callersRecord(r) {
 		return &RefusedError{&ForwardedKindError{}}
 	}
+	if err := f.checkSize(data); err != nil {
+		return &RefusedError{err}
+	}
 	w, err := f.enqueueForwarded(data)
 	if err != nil {
 		return err
--- a/internal/fleet/feed/forward_test.go
+++ b/internal/fleet/feed/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,6 +144,41 @@
 	is.Equal(n, maxForwardedBytes/len(data))
 }
 
+// Guards against a record that is larger than the log accepts: the append with it would
+// be repeated for as long as the leader leads, and no other record be stored.
+func TestRecordTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var stored []string
+		f, end := leadingFeed(func(_ context.Context, b Batch) (uint64, error) {
+			for _, data := range b.Records {
+				r, err := ledger.Decode(data)
+				is.NoErr(err)
+				if len(data) > 1000 {
+					return 0, &RefusedError{errors.New("record too large")}
+				}
+				stored = append(stored, r.Submit.ID)
+			}
+			return 0, nil
+		})
+		defer end()
+		f.MaxRecordBytes = 1000
+		large := ledger.Record{Submit: &ledger.Job{ID: "large", Spec: strings.Repeat("x", 1000)}}
+		small := ledger.Record{Submit: &ledger.Job{ID: "small"}}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+
+		var size *RecordSizeError
+		is.True(errors.As(f.Write(ctx, large), &size))
+		is.Equal(size.Limit, 1000)
+		var refused *RefusedError
+		is.True(errors.As(f.AppendForwarded(ctx, encoded(t, large)), &refused))
+		f.Propose(f.term.epoch, large, small)
+		synctest.Wait()
+		is.Equal(stored, []string{"small"})
+	})
+}
+
 // Guards against records of instances that are not stored while the log is slow, because
 // the leader takes only those of callers.
 func TestOnlyCallersRecordsAreForwarded(t *testing.T) {
--- a/internal/fleet/feed/hedge.go
+++ b/internal/fleet/feed/hedge.go
@@ -227,7 +227,7 @@
 // Write appends a record that need not come from the leader. If it returns an
 // error other than *UncertainError, the record was certainly not appended.
 func (f *Feed) Write(ctx context.Context, r ledger.Record) error {
-	data, err := ledger.Encode(r)
+	data, err := f.Encode(r)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/feed/store.go
+++ b/internal/fleet/feed/store.go
@@ -53,6 +53,16 @@
 // Unwrap returns the cause.
 func (e *UncertainError) Unwrap() error { return e.Err }
 
+// RecordSizeError reports a record that is larger than the log accepts.
+type RecordSizeError struct {
+	Bytes, Limit int
+}
+
+// Error returns a message with both sizes.
+func (e *RecordSizeError) Error() string {
+	return fmt.Sprintf("record has %d bytes, the log accepts %d", e.Bytes, e.Limit)
+}
+
 // FencedError reports an append that the log refused because its epoch has
 // ended.
 type FencedError struct {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -59,6 +59,7 @@
 	PlanPause     time.Duration // shortest pause between two planning rounds; 0 is the leader's default
 	Sharing       bool          // keep tasks apart that slow each other down, see leader.Leader
 	Bounds        leader.Bounds
+	RecordBytes   int  // size of the largest record that the log accepts; 0 is unknown
 	WorkerHealth  bool // the leader uses what it learns of workers over all jobs
 }
 
@@ -154,7 +155,7 @@
 	}
 	n.Feed = &feed.Feed{
 		Instance: n.Settings.Node, Incarnation: incarnation, Append: n.Append, Read: n.Read, Logger: n.Logger,
-		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot, Retention: n.Settings.Bounds.Retention, Latency: n.Latency, Forward: n.Forward,
+		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot, Retention: n.Settings.Bounds.Retention, Latency: n.Latency, Forward: n.Forward, MaxRecordBytes: n.Settings.RecordBytes,
 		ClaimDelay: n.Settings.claimDelay(), OnLead: n.startLeader, OnApply: n.recordApplied,
 	}
 	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
--- a/internal/fleet/instance/path_test.go
+++ b/internal/fleet/instance/path_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"jasminelane.example/lane/internal/fleet/fleettest"
+	"jasminelane.example/lane/internal/fleet/intake"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -42,6 +44,22 @@
 	}
 }
 
+// Guards against a job that is refused as if it could be accepted later, although the log
+// never takes a record of its size.
+func TestJobLargerThanRecord(t *testing.T) {
+	is := is.New(t)
+	limit := func(n *Instance) { n.Settings.RecordBytes = 1000 }
+	runClusterWith(t, 1, 3, 4, limit, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		j := job("a", ledger.Step{Count: 1, GPU: 1, Estimate: 1000})
+		is.Equal(c.submitOnce(c.nodes[0], j), intake.Accepted)
+		j.ID, j.Spec = "b", strings.Repeat("x", 1000)
+		began := time.Now()
+		is.Equal(c.submitOnce(c.nodes[0], j), intake.TooLarge)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
 // Guards against tasks that go on running after their job's cancellation was
 // acknowledged.
 func TestCancel(t *testing.T) {
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -62,11 +62,12 @@
 	NotStored                // not stored, and certain not to be stored later
 	Unknown                  // possibly stored
 	Gone                     // no such job, or the job has already ended
+	TooLarge                 // not stored, because the log does not accept a record of its size
 )
 
 // String returns the name of the outcome in log lines.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "notrun", "unknown", "gone"}[o]
+	return [...]string{"accepted", "notrun", "unknown", "gone", "toolarge"}[o]
 }
 
 // Result is the outcome of a request and its cause.
@@ -252,6 +253,10 @@
 			return Result{Outcome: Accepted}
 		}
 		cause = err
+		var tooLarge *feed.RecordSizeError
+		if errors.As(err, &tooLarge) {
+			return Result{Outcome: TooLarge, Cause: err.Error()}
+		}
 		var uncertainErr *feed.UncertainError
 		if errors.As(err, &uncertainErr) {
 			uncertain = true
--- a/internal/fleet/leader/rewrite.go
+++ b/internal/fleet/leader/rewrite.go
@@ -19,8 +19,12 @@
 // records knows all jobs.
 const rewritesPerRetention = 3
 
-// maxRewriteBatch bounds the jobs in one append.
-const maxRewriteBatch = 20
+// maxRewriteBatch and maxRewriteBytes bound one append. Its last job may exceed the
+// latter.
+const (
+	maxRewriteBatch = 20
+	maxRewriteBytes = 512 << 10
+)
 
 // rewriteLoop writes live jobs again before their records expire.
 func (l *Leader) rewriteLoop() {
@@ -39,6 +43,7 @@
 // this leader if there was none, is at least a period ago.
 func (l *Leader) rewriteJobs(written map[string]time.Time, period time.Duration) {
 	var records [][]byte
+	size := 0
 	var nextOffset uint64
 	var ids []string
 	l.Feed.ViewAt(func(s *ledger.State, next uint64) {
@@ -49,14 +54,16 @@
 				last = l.startedAt
 				written[id] = last
 			}
-			if time.Since(last) < period || len(records) == maxRewriteBatch {
+			if time.Since(last) < period || len(records) == maxRewriteBatch || size >= maxRewriteBytes {
 				continue
 			}
-			data, err := ledger.Encode(ledger.Record{Rewrite: js})
+			data, err := l.Feed.Encode(ledger.Record{Rewrite: js})
 			if err != nil {
-				l.Logger.Error("encoding job failed; it is not rewritten", zap.String("job", id), zap.Error(err))
+				l.Logger.Info("job cannot be rewritten; only snapshots keep it", zap.String("job", id), zap.Int("units", len(js.Units)), zap.Error(err))
+				written[id] = time.Now()
 				continue
 			}
+			size += len(data)
 			records = append(records, data)
 			ids = append(ids, id)
 		}
