--- a/internal/fleet/leader/planner_test.go
+++ b/internal/fleet/leader/planner_test.go
@@ -78,6 +78,17 @@
 	return j
 }
 
+// chain returns a job of which each step depends on all before it.
+func chain(steps, tasks int) ledger.Job {
+	j := equalSteps(steps, ledger.Step{Count: tasks, CPU: 4000, Estimate: 1500})
+	for i := range j.Steps {
+		for before := range i {
+			j.Steps[i].After = append(j.Steps[i].After, before)
+		}
+	}
+	return j
+}
+
 // Guards against planning rounds that take longer the more often a large job's steps
 // and units are multiplied with each other: other instances then claim the leadership
 // while the leader is planning, and none ever starts a task.
@@ -92,6 +103,8 @@
 		{"two layers, the first waits", layers(220, 70), 0},
 		{"many small steps", equalSteps(20000, ledger.Step{Count: 1, CPU: 4000, Estimate: 1500}), 0},
 		{"many steps with a limit for each worker", equalSteps(6000, ledger.Step{Count: 3, CPU: 4000, Estimate: 1500, MaxPerWorker: 1}), 0},
+		{"chain in which each step depends on all before it", chain(330, 60), 0},
+		{"many occurrences", ledger.Job{ID: "a", Service: "s", OccurrenceCount: 5000, FirstDue: 1, Steps: []ledger.Step{{Count: 2, CPU: 4000, MaxPerWorker: 1}, {Count: 2, After: []int{0}}}}, 0},
 		{"one step", equalSteps(1, ledger.Step{Count: 20000, CPU: 4000, Estimate: 1500}), 0},
 	}
 	for _, tt := range tests {
