--- a/internal/fleet/leader/planinput.go
+++ b/internal/fleet/leader/planinput.go
@@ -9,8 +9,9 @@
 	"jasminelane.example/lane/internal/fleet/policy"
 )
 
-// planInput returns the planner's view of the state, which does not change with it. The
-// caller holds the feed's lock and l.mu.
+// planInput returns the planner's view of the state. It shares nothing with the state
+// that changes, since the planner reads it without a lock. The caller holds the feed's
+// lock and l.mu.
 func (l *Leader) planInput(s *ledger.State, cfg *policy.Config) plan.Input {
 	now := time.Now()
 	in := plan.Input{Now: l.now()}
--- a/internal/fleet/ledger/job.go
+++ b/internal/fleet/ledger/job.go
@@ -18,7 +18,7 @@
 	Period          int64   `cbor:"13,keyasint,omitempty"`
 	AcceptedAt      int64   `cbor:"14,keyasint,omitempty"` // by the clock of the accepting instance
 	Instance        string  `cbor:"15,keyasint,omitempty"` // name of the accepting instance
-	Seen            uint64  `cbor:"16,keyasint,omitempty"` // offset of the first record that the accepting instance had not applied then
+	Seen            uint64  `cbor:"16,keyasint,omitempty"` // offset up to which the accepting instance had read the log then
 }
 
 // Step is a part of a job that consists of identical tasks.
