Play the seeds of TestBulkJobsFinishUnderOverload in parallel

Each case has a cluster of its own in simulated time. The check over all seeds follows once they have ended.

--- a/internal/fleet/instance/overload_test.go
+++ b/internal/fleet/instance/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,15 +104,19 @@
 // Guards against bulk jobs that are nearly all begun and hardly ever finished while there is more work than room.
 func TestBulkJobsFinishUnderOverload(t *testing.T) {
 	for _, pause := range []time.Duration{0, slowPlanPause} {
+		var mu sync.Mutex
 		var large, largeDone, all, allDone int
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("pause %v, seed %d", pause, seed), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				jobs := drawLoad(rand.New(rand.NewPCG(seed, 9)), overloadKinds, overloadWorkers, overloadTime)
 				res := playOverload(t, seed, pause, jobs)
 				tenth := res.bulk[len(res.bulk)*9/10:]
+				mu.Lock()
 				large, largeDone = large+len(tenth), largeDone+countTrue(tenth)
 				all, allDone = all+len(res.bulk), allDone+res.done[2]
+				mu.Unlock()
 				work := gpuSeconds(jobs)
 				room := overloadWorkers*8*(overloadTime+calmTime).Seconds() - work[0] - work[1]
 				share := min(1, room/work[2]) // of the bulk work, that fits beside the more urgent work
@@ -123,7 +128,9 @@
 				is.True(float64(res.done[2]) >= share/2*float64(res.all[2]))
 			})
 		}
-		t.Logf("pause %v: %d of %d bulk jobs done, %d of the largest %d", pause, allDone, all, largeDone, large)
-		is.New(t).True(2*largeDone*all >= allDone*large) // the largest tenth is done half as often at least
+		t.Cleanup(func() { // once all seeds have been played
+			t.Logf("pause %v: %d of %d bulk jobs done, %d of the largest %d", pause, allDone, all, largeDone, large)
+			is.NewRelaxed(t).True(2*largeDone*all >= allDone*large) // the largest tenth is done half as often at least
+		})
 	}
 }
