--- /dev/null
+++ b/review/standin3/fleet.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fleet holds the instances of the project, each a process of its own.
+type fleet struct {
+	rec     *record
+	dir     string
+	program string
+
+	mu        sync.Mutex
+	instances []*instance
+}
+
+// instance is one machine of the system.
+type instance struct {
+	fleet    *fleet
+	name     string
+	settings string
+	front    string
+	ready    string
+	log      *os.File
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	gone chan struct{}
+	keep bool // it starts again when it ends
+}
+
+// freePorts returns free loopback ports that follow each other.
+func freePorts(n int) (int, error) {
+	for range 50 {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		first.Close()
+		free := port+n < 65000
+		for i := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+			if err != nil {
+				free = false
+				break
+			}
+			l.Close()
+		}
+		if free {
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no free ports")
+}
+
+// add prepares an instance whose store is at the address and starts it.
+func (f *fleet) add(name, zone, store string) (*instance, error) {
+	port, err := freePorts(5)
+	if err != nil {
+		return nil, err
+	}
+	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
+	n := &instance{fleet: f, name: name, front: at(0), ready: at(1), settings: filepath.Join(f.dir, name+".json"), keep: true}
+	data, err := json.Marshal(map[string]any{
+		"node": name, "role": "entry", "machineClass": "front", "serves": []string{"front"}, "ip": "127.0.0.1", "zone": zone, "region": "kerala",
+		"listen": map[string]string{"front": at(0), "ready": at(1)}, "portRange": []int{port + 2, port + 4}, "bootstrap": true,
+		"limits":      map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"heartbeatMs": 1500, "contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"},
+		"bounds":   map[string]any{"holdMaxMs": 6000, "graceS": 6, "stopGraceMs": 400, "gangWaitMs": 3000, "contactMs": 3000, "ackMs": 4000, "cancel_ms": 3000, "visible_ms": 3000, "status_s": 120},
+		"orders":   "invoke",
+		"platform": map[string]any{"addr": store, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 24, "appendMs": 1.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200},
+		"cloud":    map[string]any{"addr": store, "ratePerS": 60.0, "duties": []string{}, "dutyPerS": 60.0},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
+		return nil, err
+	}
+	if n.log, err = os.Create(filepath.Join(f.dir, name+".log")); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.instances = append(f.instances, n)
+	f.mu.Unlock()
+	return n, n.start()
+}
+
+// start starts the process of the instance.
+func (n *instance) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cmd := exec.Command(n.fleet.program)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.Config + "=" + n.settings}
+	cmd.Stdout, cmd.Stderr = n.log, n.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	n.cmd, n.gone = cmd, make(chan struct{})
+	n.fleet.rec.add("instance %s started", n.name)
+	go func(gone chan struct{}) {
+		err := cmd.Wait()
+		n.fleet.rec.add("instance %s ended: %v", n.name, err)
+		close(gone)
+		time.Sleep(300 * time.Millisecond)
+		n.mu.Lock()
+		again := n.keep && n.cmd == cmd
+		n.mu.Unlock()
+		if again {
+			_ = n.start()
+		}
+	}(n.gone)
+	return nil
+}
+
+// signal sends a signal to the process of the instance.
+func (n *instance) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.rec.add("instance %s gets signal %d", n.name, s)
+	_ = n.cmd.Process.Signal(s)
+}
+
+// isReady reports whether the instance says that it is ready.
+func (n *instance) isReady() bool {
+	c := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := c.Get("http://" + n.ready + "/v1/readiness")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all instances are ready.
+func (f *fleet) awaitReady(limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, n := range f.instances {
+			if n.isReady() {
+				ready++
+			}
+		}
+		if ready == len(f.instances) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the instances are not ready within %v", limit)
+}
+
+// close ends all processes.
+func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.instances {
+		n.mu.Lock()
+		n.keep = false
+		if n.cmd != nil && n.cmd.Process != nil {
+			_ = n.cmd.Process.Kill()
+		}
+		gone := n.gone
+		n.mu.Unlock()
+		if gone != nil {
+			<-gone
+		}
+		n.log.Close()
+	}
+}
