--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -26,6 +26,7 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(b *bench) error{
+	"flap":  playFlap,
 	"pause": playPause,
 }
 
