Review: stand-ins with an address of their own for each run

Cause: runs beside each other took each other's ports, and late orders reached the next boot of an executor. Change: each run has its own loopback address, processes are ended on a signal, and a late order ends with its boot.

--- a/review/standin3/executor.go
+++ b/review/standin3/executor.go
@@ -166,7 +166,7 @@
 
 // boot starts the executor. The caller holds the lock.
 func (e *executor) boot() error {
-	listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(e.port)))
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(e.port)))
 	if err != nil {
 		return err
 	}
@@ -403,7 +403,7 @@
 	e.carryOut(w, r, body, boot)
 }
 
-// carryOut carries out a call. A late one reaches the boot that is up then.
+// carryOut carries out a call to a boot of the executor, if that is still up.
 func (e *executor) carryOut(w http.ResponseWriter, r *http.Request, body []byte, boot int64) {
 	q, ok := decodeRequest(body)
 	if !ok {
@@ -416,7 +416,7 @@
 	}
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
-	if !e.up {
+	if !e.up || e.born != boot {
 		return
 	}
 	now := time.Now()
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,7 @@
 	name     string
 	settings string
 	front    string
+	store    string
 	ready    string
 	log      *os.File
 
@@ -38,18 +40,14 @@
 	keep bool // it starts again when it ends
 }
 
-// freePorts returns free loopback ports that follow each other.
+// freePorts returns free loopback ports that follow each other. They lie below those
+// that the system gives to outgoing connections.
 func freePorts(n int) (int, error) {
-	for range 50 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		first.Close()
-		free := port+n < 65000
+	for range 200 {
+		port := 11000 + rand.IntN(20000)
+		free := true
 		for i := range n {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port+i))
 			if err != nil {
 				free = false
 				break
@@ -69,10 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
-	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
-	n := &instance{fleet: f, name: name, front: at(0), ready: at(1), settings: filepath.Join(f.dir, name+".json"), keep: true}
+	at := func(i int) string { return fmt.Sprintf("%s:%d", loopback, port+i) }
+	n := &instance{fleet: f, name: name, store: store, front: at(0), ready: at(1), settings: filepath.Join(f.dir, name+".json"), keep: true}
 	data, err := json.Marshal(map[string]any{
-		"node": name, "role": "entry", "machineClass": "front", "serves": []string{"front"}, "ip": "127.0.0.1", "zone": zone, "region": "kerala",
+		"node": name, "role": "entry", "machineClass": "front", "serves": []string{"front"}, "ip": loopback, "zone": zone, "region": "kerala",
 		"listen": map[string]string{"front": at(0), "ready": at(1)}, "portRange": []int{port + 2, port + 4}, "bootstrap": true,
 		"limits":      map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"heartbeatMs": 1500, "contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"},
@@ -103,7 +101,6 @@
 	cmd := exec.Command(n.fleet.program)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.Config + "=" + n.settings}
 	cmd.Stdout, cmd.Stderr = n.log, n.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -7,11 +7,17 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
+// loopback is the loopback address of this run, so that runs do not share ports.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // bench is a small deployment.
 type bench struct {
 	rec     *record
@@ -71,6 +77,13 @@
 	b.rules = newRules(rec)
 	b.fleet = &fleet{rec: rec, dir: dir, program: program}
 	defer b.fleet.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		b.fleet.close()
+		os.Exit(2)
+	}()
 	defer close(b.stop)
 	if b.store, err = newStore(rec); err != nil {
 		rec.add("cannot run: %v", err)
@@ -119,7 +132,11 @@
 	}
 	go b.pool.loop(b.stop)
 	for i := range instances {
-		if _, err := b.fleet.add(fmt.Sprintf("front-%d", i), "kochi", b.store.addr()); err != nil {
+		addr, err := b.store.via()
+		if err != nil {
+			return err
+		}
+		if _, err := b.fleet.add(fmt.Sprintf("front-%d", i), "kochi", addr); err != nil {
 			return err
 		}
 	}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -38,6 +38,10 @@
 	// fault, if set, says what to do with a call.
 	fault func(r *http.Request) storeFault
 
+	// channels that are silent for good, by the address of their client
+	silent map[string]bool
+	seen   map[string]bool // all channels
+
 	mu       sync.Mutex
 	changed  chan struct{}
 	topics   map[string]*topic
@@ -48,11 +52,11 @@
 
 // newStore starts a store on a free loopback port.
 func newStore(rec *record) (*store, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rec: rec, changed: make(chan struct{}), topics: make(map[string]*topic), listener: listener}
+	s := &store{rec: rec, changed: make(chan struct{}), topics: make(map[string]*topic), listener: listener, silent: make(map[string]bool), seen: make(map[string]bool)}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -70,8 +74,12 @@
 	var f storeFault
 	s.mu.Lock()
 	fault := s.fault
+	s.seen[r.RemoteAddr] = true
+	dead := s.silent[r.RemoteAddr]
 	s.mu.Unlock()
-	if fault != nil {
+	if dead {
+		f.silent = true
+	} else if fault != nil {
 		f = fault(r)
 	}
 	switch {
@@ -314,3 +322,25 @@
 	defer s.mu.Unlock()
 	s.fault = f
 }
+
+// silence makes all open channels silent for good.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr := range s.seen {
+		s.silent[addr] = true
+	}
+	s.seen = make(map[string]bool)
+}
+
+// via starts another address of the store, whose calls the fault may tell apart by
+// their Host.
+func (s *store) via() (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: s}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
