--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// clientKey is the key of the tenant that sends most requests.
+const clientKey = "k1"
+
 // budget is the time that a client gives a request.
 const budget = 3 * time.Second
 
@@ -21,10 +24,11 @@
 	rules *rules
 	fleet *fleet
 	http  *http.Client
+	key   string // of the tenant that sends the next request
 }
 
 func newClient(rec *record, r *rules, f *fleet) *client {
-	return &client{rec: rec, rules: r, fleet: f, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return &client{rec: rec, rules: r, fleet: f, key: clientKey, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 }
 
 // any returns an instance that is in rotation, or any if there is none.
@@ -55,7 +59,7 @@
 		panic(err)
 	}
 	req.Host = "lane.example"
-	req.Header.Set("Api-Key", "k1")
+	req.Header.Set("Api-Key", c.key)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(budget.Milliseconds(), 10))
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -118,7 +118,7 @@
 		"version": version, "routes": []any{route("r-proof", "/proof/", 1), route("r-check", "/check/", 0), route("r-sheet", "/sheet/", 2)},
 		"services": []any{map[string]any{"name": "press", "healthPath": "/health", "rejectsOverload": false, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "schools", "apiKeys": []string{"k1"}, "guaranteed": map[string]any{"gpu": 8}}},
+		"tenants":  []any{map[string]any{"name": "schools", "apiKeys": []string{clientKey}, "guaranteed": map[string]any{"gpu": 8}}},
 	}
 }
 
--- a/review/standin3/pause.go
+++ b/review/standin3/pause.go
@@ -10,7 +10,8 @@
 )
 
 // playPause stops an instance for 4 s while the store falls silent for 4.5 s, and then
-// sends a configuration with a new queue. The instance has to know it in time.
+// sends a configuration that withdraws a key and adds a queue. The instance has to know
+// it in time.
 func playPause(b *bench) error {
 	const (
 		freeze    = 4 * time.Second
@@ -25,6 +26,11 @@
 	if err := b.begin(3, 4); err != nil {
 		return err
 	}
+	oldKeys := []string{"old-1", "old-2"}
+	first := configuration(5)
+	setKeys(first, oldKeys)
+	b.store.put("keyed.op", "config", first)
+	time.Sleep(apply)
 	for round := range rounds {
 		n := b.fleet.instances[round%len(b.fleet.instances)]
 		if b.trouble {
@@ -47,29 +53,45 @@
 		more := maps.Clone(routes[0].(map[string]any))
 		more["name"], more["pathPrefix"] = fmt.Sprintf("r-%d", round), prefix
 		cfg["routes"] = append(routes, more)
+		withdrawn := oldKeys[0]
+		oldKeys = oldKeys[1:]
+		setKeys(cfg, oldKeys)
 		b.store.put("keyed.op", "config", cfg)
 		acked := time.Now()
-		b.rec.add("configuration %d with the queue %s is stored", version, prefix)
+		b.rec.add("configuration %d with the queue %s and without the key %s is stored", version, prefix, withdrawn)
 		from := acked.Add(apply + 50*time.Millisecond)
 		if t := calm.Add(contact + 50*time.Millisecond); t.After(from) {
 			from = t
 		}
 		time.Sleep(time.Until(from))
+		j := b.client.expect(shape{[]shapeStep{{count: 1, work: time.Second, needed: resources{11000, 16000, 1}}}})
+		b.client.key = withdrawn
+		accepted := b.client.attempt(j, n, "/proof/")
+		b.client.key = clientKey
 		refused := 0
 		for end := from.Add(watched); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 			sent := time.Now()
 			status, _ := b.client.call(n, http.MethodGet, prefix, nil)
-			b.rec.add("client: GET %s at %s, sent %.2f s after the ack and %.2f s after the store's return: %d", prefix, n.name, sent.Sub(acked).Seconds(), sent.Sub(calm).Seconds(), status)
+			b.rec.add("client: GET %s at %s, sent %.2f s after the ack and %.2f s after the store's return: %d (ready: %t)", prefix, n.name, sent.Sub(acked).Seconds(), sent.Sub(calm).Seconds(), status, n.isReady())
 			if status == http.StatusNotFound {
 				refused++
 			}
 		}
+		b.rules.mu.Lock()
+		if accepted >= 200 && accepted < 300 {
+			b.rules.breach("CONFIG", "%s answered a job with a withdrawn key with %d, sent more than %v after the ack and %v after the store's return", n.name, accepted, apply, contact)
+		}
 		if refused > 0 {
-			b.rules.mu.Lock()
 			b.rules.breach("CONFIG", "%s answered %d requests for the new queue with 404, all sent more than %v after the ack and %v after the store's return", n.name, refused, apply, contact)
-			b.rules.mu.Unlock()
 		}
+		b.rules.mu.Unlock()
 		time.Sleep(nextRound)
 	}
 	return nil
 }
+
+// setKeys gives a configuration a second tenant with the keys.
+func setKeys(cfg map[string]any, keys []string) {
+	second := map[string]any{"name": "guild", "apiKeys": keys, "guaranteed": map[string]any{"gpu": 0}}
+	cfg["tenants"] = append(cfg["tenants"].([]any), second)
+}
