--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -122,7 +122,11 @@
 		}
 		steps = append(steps, b)
 	}
-	status, _ := c.call(n, http.MethodPost, prefix+j.id, map[string]any{"spec": j.spec, "steps": steps})
+	body := map[string]any{"spec": j.spec, "steps": steps}
+	if !j.due.IsZero() {
+		body["times"], body["firstMs"], body["periodMs"] = 1, j.due.UnixMilli(), 1000
+	}
+	status, _ := c.call(n, http.MethodPost, prefix+j.id, body)
 	c.rules.mu.Lock()
 	defer c.rules.mu.Unlock()
 	switch {
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -19,6 +19,7 @@
 	rec     *record
 	dir     string
 	program string
+	keepS   int // how long the store keeps a record, in s
 
 	mu        sync.Mutex
 	instances []*instance
@@ -76,7 +77,7 @@
 		"heartbeatMs": 1500, "contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"},
 		"bounds":   map[string]any{"holdMaxMs": 6000, "graceS": 6, "stopGraceMs": 400, "gangWaitMs": 3000, "contactMs": 3000, "ackMs": 4000, "cancel_ms": 3000, "visible_ms": 3000, "status_s": 120},
 		"orders":   "invoke",
-		"platform": map[string]any{"addr": store, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 24, "appendMs": 1.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200},
+		"platform": map[string]any{"addr": store, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 24, "appendMs": 1.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": f.keepS, "partMb": 200},
 		"cloud":    map[string]any{"addr": store, "ratePerS": 60.0, "duties": []string{}, "dutyPerS": 60.0},
 	})
 	if err != nil {
@@ -156,6 +157,29 @@
 	return fmt.Errorf("the instances are not ready within %v", limit)
 }
 
+// powerOff kills all instances, which start again after a time.
+func (f *fleet) powerOff(dark time.Duration) error {
+	for _, n := range f.instances {
+		n.mu.Lock()
+		n.keep = false
+		_ = n.cmd.Process.Kill()
+		gone := n.gone
+		n.mu.Unlock()
+		<-gone
+	}
+	f.rec.add("all instances have lost power")
+	time.Sleep(dark)
+	for _, n := range f.instances {
+		n.mu.Lock()
+		n.keep = true
+		n.mu.Unlock()
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // close ends all processes.
 func (f *fleet) close() {
 	f.mu.Lock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,8 +32,8 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(b *bench) error{
-	"flap":  playFlap,
-	"pause": playPause,
+	"pause":  playPause,
+	"expire": playExpire,
 }
 
 func main() {
@@ -75,7 +75,7 @@
 	b := &bench{rec: rec, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{})}
 	rec.add("case %s, trouble %t", name, b.trouble)
 	b.rules = newRules(rec)
-	b.fleet = &fleet{rec: rec, dir: dir, program: program}
+	b.fleet = &fleet{rec: rec, dir: dir, program: program, keepS: 300}
 	defer b.fleet.close()
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
--- a/review/standin3/rules.go
+++ b/review/standin3/rules.go
@@ -23,6 +23,7 @@
 	id        string
 	spec      string
 	shape     shape
+	due       time.Time // of its only occurrence; zero if it is not scheduled
 	accepted  time.Time // of the first answer that accepted it
 	rejected  int       // attempts that were answered as not accepted
 	unknown   int       // other attempts
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -26,6 +26,7 @@
 // topic is partition 0 of a topic.
 type topic struct {
 	records [][]byte
+	written []time.Time         // by record
 	epochs  map[string]uint64   // by producer
 	seqs    map[string][]uint64 // by producer: the last five of the epoch
 	firsts  map[string][]uint64 // their offsets
@@ -38,6 +39,12 @@
 	// fault, if set, says what to do with a call.
 	fault func(r *http.Request) storeFault
 
+	// keep is how long a record is kept; 0 is for good.
+	keep time.Duration
+
+	// appended, if set, is called with the topic of each append.
+	appended func(topic string)
+
 	// channels that are silent for good, by the address of their client
 	silent map[string]bool
 	seen   map[string]bool // all channels
@@ -171,6 +178,9 @@
 func (s *store) appendLocked(t *topic, records [][]byte) (first uint64) {
 	first = uint64(len(t.records))
 	t.records = append(t.records, records...)
+	for range records {
+		t.written = append(t.written, time.Now())
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return first
@@ -221,6 +231,9 @@
 		return
 	}
 	first := s.appendLocked(t, records)
+	if s.appended != nil {
+		s.appended(name)
+	}
 	if producer != "" {
 		if epoch > t.epochs[producer] {
 			t.epochs[producer], t.seqs[producer], t.firsts[producer] = epoch, nil, nil
@@ -234,6 +247,19 @@
 	answer(w, http.StatusOK, map[string]any{"offset": first, "end": len(t.records)})
 }
 
+// first returns the offset of the oldest record that has not expired. The caller holds
+// s.mu.
+func (s *store) first(t *topic) uint64 {
+	if s.keep == 0 {
+		return 0
+	}
+	n := 0
+	for n < len(t.written) && time.Since(t.written[n]) > s.keep {
+		n++
+	}
+	return uint64(n)
+}
+
 // serveRead serves a read, which may wait for a record.
 func (s *store) serveRead(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("topic")
@@ -247,11 +273,16 @@
 	defer end.Stop()
 	for waiting := wait > 0; ; {
 		s.mu.Lock()
-		records, changed := s.topicOf(name).records, s.changed
+		t, changed := s.topicOf(name), s.changed
+		records, first := t.records, s.first(t)
 		s.mu.Unlock()
+		if from < first {
+			answer(w, http.StatusGone, map[string]any{"first": first})
+			return
+		}
 		if uint64(len(records)) > from || !waiting {
 			out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			out = binary.BigEndian.AppendUint64(out, 0)
+			out = binary.BigEndian.AppendUint64(out, first)
 			for i := from; i < uint64(len(records)); i++ {
 				if len(out)+4+len(records[i]) > int(maxKiB)<<10 {
 					break
