--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -166,21 +166,3 @@
 	}
 	return status, state
 }
-
-// cancel cancels a job.
-func (c *client) cancel(j *job, n *instance, prefix string) int {
-	c.rules.mu.Lock()
-	if j.cancelAt.IsZero() {
-		j.cancelAt = time.Now()
-	}
-	c.rules.mu.Unlock()
-	status, _ := c.call(n, http.MethodDelete, prefix+j.id, nil)
-	c.rules.mu.Lock()
-	defer c.rules.mu.Unlock()
-	if status >= 200 && status < 300 || status == 410 {
-		if j.cancelled.IsZero() {
-			j.cancelled = time.Now()
-		}
-	}
-	return status
-}
--- a/review/standin3/executor.go
+++ b/review/standin3/executor.go
@@ -65,6 +65,7 @@
 	port    int
 
 	up       bool
+	gone     bool // lost for good, with its machine
 	draining bool
 	born     int64
 	bootAt   time.Time
@@ -137,6 +138,9 @@
 	defer p.mu.Unlock()
 	out := []map[string]any{}
 	for _, e := range p.executors {
+		if e.gone {
+			continue
+		}
 		out = append(out, map[string]any{"machine": e.machine, "pool": "press", "state": "up", "zone": e.zone, "labels": []string{"a", e.rack}, "capacity": e.capacity(), "id": e.id})
 	}
 	return out
@@ -184,22 +188,15 @@
 	return nil
 }
 
-// crash ends the executor at once, with all that it runs. The caller holds the lock.
-func (e *executor) crash() {
-	if !e.up {
-		return
-	}
-	e.up = false
-	e.server.Close()
-	for _, t := range e.running {
+// vanish loses the executor for good. It answers nothing any more, and its machine leaves the
+// list. The caller holds the lock.
+func (e *executor) vanish() {
+	e.fault = func(string) execFault { return execFault{silent: true} }
+	for _, t := range e.sortedRuns() {
 		t.over = true
-		e.pool.leaveGang(t)
-		e.pool.rules.ended(t, "crash", time.Now())
 	}
-	e.pool.rec.add("executor %s crashes, with %d runs", e.id, len(e.running))
-	e.running = make(map[string]*taskRun)
-	close(e.changed)
-	e.changed = make(chan struct{})
+	e.up, e.gone = false, true
+	e.pool.rec.add("executor %s is lost for good", e.id)
 }
 
 // beat writes the entry of the executor. The caller holds the lock.
@@ -417,6 +414,7 @@
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
 	if !e.up || e.born != boot {
+		abort(w)
 		return
 	}
 	now := time.Now()
@@ -449,6 +447,14 @@
 	}
 }
 
+// abort cuts the channel of a call that gets no answer, unless the call is late and has
+// none any more.
+func abort(w http.ResponseWriter) {
+	if _, late := w.(*discard); !late {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // extend extends the lease. It never shortens.
 func (e *executor) extend(until uint64, now time.Time) {
 	e.lease = max(e.lease, min(int64(until), e.clock(now)+holdMax.Milliseconds()))
@@ -526,6 +532,7 @@
 			e.pool.mu.Lock()
 		}
 		if !e.up || e.born != boot {
+			abort(w)
 			return
 		}
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,8 +32,9 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(b *bench) error{
-	"pause":  playPause,
-	"expire": playExpire,
+	"pause":   playPause,
+	"pending": playPending,
+	"expire":  playExpire,
 }
 
 func main() {
--- a/review/standin3/rules.go
+++ b/review/standin3/rules.go
@@ -28,7 +28,6 @@
 	rejected  int       // attempts that were answered as not accepted
 	unknown   int       // other attempts
 	cancelled time.Time // when the cancelling was first acknowledged
-	cancelAt  time.Time // when it was first sent
 	shown     string
 }
 
@@ -134,22 +133,6 @@
 	}
 }
 
-// failedEnds returns how many runs of the job's tasks ended as failed.
-func (r *rules) failedEnds(id string) int {
-	n := 0
-	for task, runs := range r.runs {
-		if !strings.HasPrefix(task, id+".") {
-			continue
-		}
-		for _, seen := range runs {
-			if seen.how == "failed" {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // ranAny reports whether a task of the job has started.
 func (r *rules) ranAny(id string) bool {
 	for task := range r.runs {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -45,10 +45,6 @@
 	// appended, if set, is called with the topic of each append.
 	appended func(topic string)
 
-	// channels that are silent for good, by the address of their client
-	silent map[string]bool
-	seen   map[string]bool // all channels
-
 	mu       sync.Mutex
 	changed  chan struct{}
 	topics   map[string]*topic
@@ -63,15 +59,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rec: rec, changed: make(chan struct{}), topics: make(map[string]*topic), listener: listener, silent: make(map[string]bool), seen: make(map[string]bool)}
+	s := &store{rec: rec, changed: make(chan struct{}), topics: make(map[string]*topic), listener: listener}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
 
-// addr returns the address of the store.
-func (s *store) addr() string { return s.listener.Addr().String() }
-
 // ServeHTTP serves one call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -81,12 +74,8 @@
 	var f storeFault
 	s.mu.Lock()
 	fault := s.fault
-	s.seen[r.RemoteAddr] = true
-	dead := s.silent[r.RemoteAddr]
 	s.mu.Unlock()
-	if dead {
-		f.silent = true
-	} else if fault != nil {
+	if fault != nil {
 		f = fault(r)
 	}
 	switch {
@@ -354,16 +343,6 @@
 	s.fault = f
 }
 
-// silence makes all open channels silent for good.
-func (s *store) silence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for addr := range s.seen {
-		s.silent[addr] = true
-	}
-	s.seen = make(map[string]bool)
-}
-
 // via starts another address of the store, whose calls the fault may tell apart by
 // their Host.
 func (s *store) via() (string, error) {
