--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -23,6 +23,7 @@
 
 	mu        sync.Mutex
 	instances []*instance
+	closed    bool // no process starts any more
 }
 
 // instance is one machine of the system.
@@ -97,6 +98,11 @@
 
 // start starts the process of the instance.
 func (n *instance) start() error {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.fleet.closed {
+		return fmt.Errorf("the case has ended")
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	cmd := exec.Command(n.fleet.program)
@@ -183,7 +189,8 @@
 // close ends all processes.
 func (f *fleet) close() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, n := range f.instances {
 		n.mu.Lock()
 		n.keep = false
