Keep pauses and outages out of the latency of the store

Cause: the estimate of the store's latency took everything that delayed an answer for latency, and one answer raised it to 3 s, from which the timeouts of reads (9 s), the repeats of appends and the timeouts of claims and probes follow. Besides, an append that waited on such an estimate kept its timeouts when the estimate fell.

Change: a loop notices when the process did not run; calls that were pending then show an upper bound only. An answer above 1.2 s that raises the estimate is refuted by the answer to a call that was sent later, as at the end of an outage. A repeated request is measured from its last connection. Appends follow the estimate while they wait.

Observe takes the times of the call instead of its duration, so the calls of existing tests are written anew, with the same figures and expectations.

--- a/internal/fleet/feed/election.go
+++ b/internal/fleet/feed/election.go
@@ -224,7 +224,7 @@
 	began := time.Now()
 	offset, err := f.Append(ctx, Batch{Records: [][]byte{data}, ExpectedEnd: expectedEnd, Epoch: epoch, Seq: 1})
 	if answered(err) {
-		f.Latency.Observe(time.Since(began), 0)
+		f.Latency.Observe(latency.Answer{Sent: began, Received: time.Now()})
 	}
 	f.Logger.Info("leadership claim attempted", zap.Uint64("epoch", epoch), zap.Uint64("next", next), zap.Bool("conditional", expectedEnd != nil), zap.Duration("silent", silent), zap.Bool("lastresort", lastResort), zap.Error(err))
 	f.claimAnswered(epoch, next, offset, err)
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -240,11 +240,13 @@
 		}
 		return 0, err
 	}
-	if took := time.Since(began); p.size() > maxLatencyPage {
-		f.Latency.Observe(took, took+1) // the transfer took most of the time
-	} else {
-		f.Latency.Observe(took, possibleWait)
+	if p.size() > maxLatencyPage {
+		possibleWait = latency.UnknownWait // the transfer took most of the time
 	}
+	if !p.Sent.IsZero() {
+		began = p.Sent
+	}
+	f.Latency.Observe(latency.Answer{Sent: began, Received: time.Now(), Wait: possibleWait})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/internal/fleet/feed/hedge.go
+++ b/internal/fleet/feed/hedge.go
@@ -24,6 +24,10 @@
 	// from a short outage, in which the calls before it were lost.
 	lastCallFactor = 6
 
+	// overdueCheckPeriod is the time between two checks of whether an answer is overdue:
+	// the latency may have become known since the call was made.
+	overdueCheckPeriod = 50 * time.Millisecond
+
 	// minRound is the shortest time for which the leader waits for an answer to an
 	// append before it makes a further call.
 	minRound = 1200 * time.Millisecond
@@ -109,9 +113,9 @@
 		if repeated {
 			f.appends.pending.Add(-1)
 		}
-		if took := time.Since(began); answered(err) {
-			f.Latency.Observe(took, 0)
-			if took >= overdue {
+		if answered(err) {
+			f.Latency.Observe(latency.Answer{Sent: began, Received: time.Now()})
+			if time.Since(began) >= overdue {
 				f.appends.late.Add(1)
 			}
 		}
@@ -154,46 +158,43 @@
 
 // run makes calls until the outcome is known, the context ends or the limit has
 // passed. It makes the first call immediately, and another one each time that the
-// answers are overdue, at most the given number in all.
-func (h *hedge) run(ctx context.Context, calls int, limit time.Duration) (uint64, error) {
+// answers are overdue, at most the given number in all. The limit follows the latency.
+func (h *hedge) run(ctx context.Context, calls int, limit func() time.Duration) (uint64, error) {
 	began := time.Now()
-	end := time.NewTimer(limit)
-	defer end.Stop()
 	h.call(ctx)
-	next := time.NewTimer(h.f.Latency.Overdue())
-	defer next.Stop()
+	check := time.NewTicker(overdueCheckPeriod)
+	defer check.Stop()
 	for made := 1; ; {
 		select {
 		case r := <-h.results:
 			if offset, err, known := h.take(r); known {
 				return offset, err
 			}
-		case <-next.C:
-			overdue := h.f.Latency.Overdue()
-			if made == calls {
-				continue
-			}
-			if made > 1 {
-				overdue *= lastCallFactor
+		case <-check.C:
+			passed := time.Since(began)
+			if passed >= limit() {
+				return 0, &UncertainError{context.DeadlineExceeded}
 			}
-			// The latency may have become known since the timer was set.
-			if rest := overdue - time.Since(began); rest > 0 {
-				next.Reset(rest)
-				continue
-			}
-			if h.f.appends.pending.Load() < maxHedged {
+			if made < calls && passed >= h.dueCall(made) && h.f.appends.pending.Load() < maxHedged {
 				h.call(ctx)
 				made++
 			}
-			next.Reset(overdue)
-		case <-end.C:
-			return 0, &UncertainError{context.DeadlineExceeded}
 		case <-ctx.Done():
 			return h.cancel(ctx.Err())
 		}
 	}
 }
 
+// dueCall returns when the next call is due, after the given number of them, as a time
+// since the first one.
+func (h *hedge) dueCall(made int) time.Duration {
+	overdue := h.f.Latency.Overdue()
+	if made > 1 {
+		overdue *= lastCallFactor
+	}
+	return overdue
+}
+
 // cancel cancels all calls and returns the outcome, which is unknown unless all
 // calls turn out not to have been sent.
 func (h *hedge) cancel(cause error) (uint64, error) {
@@ -210,18 +211,17 @@
 
 // append makes an append for a caller, whose deadline is that of ctx.
 func (f *Feed) append(ctx context.Context, b Batch) (uint64, error) {
-	return f.newHedge(b).run(ctx, maxAppendCalls, max(callTimeout, latency.Longest(f.Latency.Estimate())))
+	return f.newHedge(b).run(ctx, maxAppendCalls, func() time.Duration { return max(callTimeout, latency.Longest(f.Latency.Estimate())) })
 }
 
 // appendRound makes the calls of one attempt of the leader. Calls of earlier
 // attempts may still be pending. Only the first attempt makes several calls, so
 // that an unavailable log gets few.
 func (h *hedge) appendRound(ctx context.Context, attempt int) (uint64, error) {
-	overdue := h.f.Latency.Overdue()
 	if attempt == 1 {
-		return h.run(ctx, maxAppendCalls, max(minRound, 2*overdue))
+		return h.run(ctx, maxAppendCalls, func() time.Duration { return max(minRound, 2*h.f.Latency.Overdue()) })
 	}
-	return h.run(ctx, 1, max(minRound, overdue))
+	return h.run(ctx, 1, func() time.Duration { return max(minRound, h.f.Latency.Overdue()) })
 }
 
 // Write appends a record that need not come from the leader. If it returns an
--- a/internal/fleet/feed/hedge_test.go
+++ b/internal/fleet/feed/hedge_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"jasminelane.example/lane/internal/fleet/latency"
 	"jasminelane.example/lane/internal/fleet/ledger"
 )
 
@@ -84,7 +85,7 @@
 				is := is.New(t)
 				f := &Feed{}
 				f.init()
-				f.Latency.Observe(tt.latency, 0)
+				f.Latency.Observe(latency.Answer{Sent: time.Now().Add(-tt.latency), Received: time.Now()})
 				appendCall, calls := scriptedAppend(tt.calls)
 				f.Append = appendCall
 				ctx, cancel := context.WithTimeout(t.Context(), deadline)
@@ -134,7 +135,7 @@
 					return 0, nil
 				}}
 				f.init()
-				f.Latency.Observe(4*time.Millisecond, 0)
+				f.Latency.Observe(latency.Answer{Sent: time.Now().Add(-4 * time.Millisecond), Received: time.Now()})
 				is.True(f.commit(t.Context(), &term{epoch: 1}, 2, nil))
 				is.True(time.Since(began) <= tt.within)
 				is.True(int(calls.Load()) <= tt.maxCalls)
@@ -143,3 +144,34 @@
 		})
 	}
 }
+
+// Guards against a leader that appends nothing for seconds after the log answers again,
+// because it took an outage for the latency of the log.
+func TestCommitAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const silence = 4600 * time.Millisecond
+		began := time.Now()
+		f := &Feed{Append: func(ctx context.Context, _ Batch) (uint64, error) {
+			if time.Since(began) < silence {
+				<-ctx.Done()
+				return 0, &UncertainError{ctx.Err()}
+			}
+			time.Sleep(4 * time.Millisecond)
+			return 0, nil
+		}}
+		f.init()
+		f.Latency.Observe(latency.Answer{Sent: began.Add(-3 * time.Second), Received: began})
+		stop := time.AfterFunc(silence, func() {
+			for t.Context().Err() == nil && time.Since(began) < silence+5*time.Second { // reads are answered
+				time.Sleep(100 * time.Millisecond)
+				now := time.Now()
+				f.Latency.Observe(latency.Answer{Sent: now.Add(-4 * time.Millisecond), Received: now})
+			}
+		})
+		defer stop.Stop()
+		is.True(f.commit(t.Context(), &term{epoch: 1}, 2, nil))
+		is.True(time.Since(began) <= silence+minRound+maxBackoff)
+		time.Sleep(10 * time.Second) // until the other calls have ended
+	})
+}
--- a/internal/fleet/feed/store.go
+++ b/internal/fleet/feed/store.go
@@ -1,6 +1,9 @@
 package feed
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Batch is the content of one append. The log stores either all of its records,
 // in order, or none.
@@ -17,6 +20,10 @@
 	Records [][]byte // records at consecutive offsets
 	First   uint64   // offset of the oldest retained record
 	End     uint64   // offset of the next append
+
+	// Sent is when the call was sent that returned the page. It is later than the read
+	// began if calls before it had no answer. It is zero if it is unknown.
+	Sent time.Time
 }
 
 // size returns the size of the records in bytes.
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -261,6 +261,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var g run.Group
+	g.Add(func() error { n.Latency.WatchPauses(ctx); return ctx.Err() }, func(error) { cancel() })
 	g.Add(func() error { return n.Feed.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { n.WatchConfig(ctx, n.Policy, n.Logger); return ctx.Err() }, func(error) { cancel() })
 	callers, err := n.listen(ctx, &g, admission.Callers, n.Settings.CallerAddr, n.CallerHandler(n))
--- a/internal/fleet/instance/slowstore_test.go
+++ b/internal/fleet/instance/slowstore_test.go
@@ -72,7 +72,10 @@
 	known := func(instance string) *latency.Tracker { return c.node(instance).instance().Latency }
 	c.log.SetFaults(func(*fleettest.LogFaults) {
 		c.log.ReadMargin = func(instance string) time.Duration { return max(1200*time.Millisecond, 3*known(instance).Estimate()) }
-		c.log.LateAnswer = func(instance string, took time.Duration) { known(instance).Observe(took, 0) }
+		c.log.LateAnswer = func(instance string, took time.Duration) {
+			now := time.Now()
+			known(instance).Observe(latency.Answer{Sent: now.Add(-took), Received: now})
+		}
 	})
 }
 
--- a/internal/fleet/latency/latency.go
+++ b/internal/fleet/latency/latency.go
@@ -1,6 +1,7 @@
 package latency
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -25,8 +26,7 @@
 	// lost on a slow store, too.
 	maxOverdue = 1200 * time.Millisecond
 
-	// maxEstimate bounds the estimate: callers wait no longer than that. A process that
-	// was paused with a call in progress would measure the pause.
+	// maxEstimate bounds the estimate: callers wait no longer than that.
 	maxEstimate = 3 * time.Second
 
 	// overdueFactor and minOverdueFactor are the usual and the lowest ratio of
@@ -35,10 +35,34 @@
 	minOverdueFactor = 1.5
 )
 
+// doubtTime is how long the time of an answer above maxOverdue can be refuted by the answer
+// to a call that was sent later. If the calls in progress only had to wait for the end of
+// an outage, all of them are answered at once, the newest after a short time.
+const doubtTime = minOverdue
+
 // learnWindow is how recent an own measurement must be to count more than the
 // latency that another instance has announced.
 const learnWindow = 2 * time.Second
 
+// UnknownWait is the wait of an answer whose time shows only an upper bound of the latency.
+const UnknownWait = time.Duration(math.MaxInt64)
+
+// Answer is an answer of the store to one call.
+type Answer struct {
+	Sent     time.Time
+	Received time.Time
+	Wait     time.Duration // for which the store may have waited for records
+}
+
+// bounds returns the lowest and the highest latency that the answer may show.
+func (a Answer) bounds() (lowest, highest time.Duration) {
+	highest = a.Received.Sub(a.Sent)
+	return max(highest-a.Wait, 0), highest
+}
+
+// exact reports whether the answer shows the latency and not only an upper bound.
+func (a Answer) exact() bool { return a.Wait == 0 || a.Received.Sub(a.Sent) >= a.Wait }
+
 // Tracker estimates the latency of the store from the answers to one instance, and
 // from the latency that the leader announces. It is safe for concurrent use. The
 // zero value is ready for use.
@@ -49,27 +73,52 @@
 	measured time.Time // last answer that showed the latency exactly
 	slowRun  int       // number of consecutive answers that took at least SlowThreshold
 	slow     bool
+
+	doubtful  doubt
+	disturbed time.Time // calls sent before then may have taken longer for other reasons
+	lastTick  time.Time // last time that WatchPauses ran; zero if it is not running
+}
+
+// doubt is an answer that took longer than maxOverdue and raised the estimate.
+type doubt struct {
+	sent   time.Time     // when the call was sent
+	until  time.Time     // when it can no longer be refuted
+	before time.Duration // estimate without it
 }
 
-// Observe adds an answer that took the given time, of which the store may have
-// waited up to wait for records. The estimate rises to an observation at once, and
-// falls by at most a half with each, because single answers are fast on a slow
-// store.
-func (t *Tracker) Observe(took, wait time.Duration) {
+// Observe adds an answer. The estimate rises to an observation at once, and falls by at
+// most a half with each, because single answers are fast on a slow store. It falls at once
+// if a doubtful answer is refuted. A call that was sent before a disturbance shows an upper
+// bound only.
+func (t *Tracker) Observe(a Answer) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.answered = time.Now()
-	if wait == 0 || took >= wait {
-		t.measured = t.answered
+	t.notePause(time.Now())
+	if a.Sent.Before(t.disturbed) {
+		a.Wait = UnknownWait
+	}
+	t.answered = a.Received
+	if a.exact() {
+		t.measured = a.Received
+	}
+	lowest, highest := a.bounds()
+	d := &t.doubtful
+	switch refutable := a.Received.Before(d.until); {
+	case refutable && a.Sent.After(d.sent):
+		t.estimate = min(t.estimate, max(d.before, highest))
+	case refutable && a.Sent.Before(d.sent):
+		lowest = min(lowest, t.estimate) // a newer call has already told more
+	case lowest > max(maxOverdue, t.estimate):
+		*d = doubt{a.Sent, a.Received.Add(doubtTime), t.estimate}
 	}
-	t.estimate = min(maxEstimate, max(took-wait, min(t.estimate, max(t.estimate/2, took))))
+	t.estimate = min(maxEstimate, max(lowest, min(t.estimate, max(t.estimate/2, highest))))
 	switch {
-	case took-wait >= SlowThreshold:
+	case lowest >= SlowThreshold:
 		t.slowRun++
-	case took < SlowThreshold:
+	case highest < SlowThreshold:
 		t.slowRun = 0
 	}
 	t.slow = t.estimate >= SlowThreshold && (t.slow || t.slowRun >= minSlowRun)
--- a/internal/fleet/relay/direct.go
+++ b/internal/fleet/relay/direct.go
@@ -133,7 +133,10 @@
 	defer r.mu.Unlock()
 	r.lateReads--
 	if res.served() {
-		r.Latency.Observe(time.Since(began), c.Wait)
+		if !res.reply.Sent.IsZero() {
+			began = res.reply.Sent
+		}
+		r.Latency.Observe(latency.Answer{Sent: began, Received: time.Now(), Wait: c.Wait})
 		r.recordServed()
 	}
 }
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -57,6 +57,7 @@
 type Reply struct {
 	Status int
 	Body   []byte
+	Sent   time.Time // when the call was sent that the store has answered; zero is unknown
 }
 
 // ok reports whether the store made the call.
--- a/internal/fleet/relay/slow_test.go
+++ b/internal/fleet/relay/slow_test.go
@@ -96,7 +96,7 @@
 					defer cancel()
 					began := time.Now()
 					if _, _, err := r.Do(ctx, c); err == nil {
-						r.Latency.Observe(time.Since(began), c.Wait)
+						r.Latency.Observe(latency.Answer{Sent: began, Received: time.Now(), Wait: c.Wait})
 					}
 				}
 				for i := range 60 { // appends, queries and long polls
@@ -137,7 +137,7 @@
 		is := is.New(t)
 		store := &slowStore{state: storeState{delay: 400 * time.Millisecond}}
 		r := &Relay{CallDirect: store.call, PeerAddrs: func() []string { return nil }, Logger: zap.NewNop(), Latency: &latency.Tracker{}}
-		r.Latency.Observe(400*time.Millisecond, 0)
+		r.Latency.Observe(latency.Answer{Sent: time.Now().Add(-400 * time.Millisecond), Received: time.Now()})
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			for range 5 {
 				ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
