Repeat reads of the store whose answer is overdue

Cause: a read that was sent into a silent store is never answered, and stayed pending until its timeout, which follows the estimate of the latency: 9 s at 3 s. The store had meanwhile answered other reads of the process, but neither the watch of the configuration nor that of the log was read again. The estimate can be wrong for other reasons than those that were mended, or right before an outage, so the bound must not depend on it. A shorter timeout alone would never read a store that is truly slower than it.

Change: a read without an answer is repeated after 1.2 s beyond its wait and then each 1.2 s, without a wait; the first answer counts. The first call, which a slow store answers first, and the newest one stay pending. So after the store's return a long poll of 1 s is blind for 2.2 s at most, a later repeat for 1.2 s. Reads through peers are repeated through another one; the peer learns the wait of a long poll from a header.

TestRepeatedRead: "silence" ended with a timeout before and ends within 1.2 s of the store's return now; stores of 2 and 4.5 s are read with the first call, as before.

--- a/internal/fleet/relay/direct.go
+++ b/internal/fleet/relay/direct.go
@@ -12,13 +12,6 @@
 )
 
 const (
-	// lateTime is how long a direct read without an answer goes on after its
-	// timeout. A late answer shows that the store is slow and not unavailable.
-	lateTime = 3 * time.Second
-
-	// maxLateReads bounds the number of such reads, which hold connections.
-	maxLateReads = 2
-
 	// maxPatience bounds the time without an answer after which a write counts as
 	// failed, unless the store is slower.
 	maxPatience = 1200 * time.Millisecond
@@ -29,8 +22,8 @@
 	minFailureGap = 75 * time.Millisecond
 )
 
-// directResult is the result of a direct call.
-type directResult struct {
+// callResult is the result of one call.
+type callResult struct {
 	reply Reply
 	sent  bool
 	err   error
@@ -41,23 +34,23 @@
 // peer.
 func (r *Relay) direct(ctx context.Context, c Call) (Reply, bool, error, bool) {
 	began := time.Now()
-	var res directResult
+	var res callResult
 	if c.writes() {
 		res = r.directWrite(ctx, c, began)
 	} else {
-		res = r.directRead(ctx, c, began)
+		res = r.directRead(ctx, c)
 	}
 	return res.reply, res.sent, res.err, r.recordResult(res, c, began)
 }
 
 // directWrite makes a direct call that may change the store. The call goes on when
 // its answer is overdue, but then counts as failed.
-func (r *Relay) directWrite(ctx context.Context, c Call, began time.Time) directResult {
+func (r *Relay) directWrite(ctx context.Context, c Call, began time.Time) callResult {
 	answered := make(chan struct{})
 	defer close(answered)
 	go r.watchOverdue(answered, began)
 	reply, sent, err := r.CallDirect(ctx, c)
-	return directResult{reply, sent, err}
+	return callResult{reply, sent, err}
 }
 
 // watchOverdue records a call as unanswered unless it is answered in time.
@@ -84,65 +77,8 @@
 	}
 }
 
-// directRead makes a direct call that does not change the store. If the context
-// times out, the call goes on in the background for a late answer.
-func (r *Relay) directRead(ctx context.Context, c Call, began time.Time) directResult {
-	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	done := make(chan directResult, 1)
-	go func() {
-		defer cancel()
-		reply, sent, err := r.CallDirect(callCtx, c)
-		done <- directResult{reply, sent, err}
-	}()
-	select {
-	case res := <-done:
-		return res
-	case <-ctx.Done():
-	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || !r.beginLateRead() {
-		cancel()
-		res := <-done
-		if res.err != nil {
-			res.err = ctx.Err()
-		}
-		return res
-	}
-	end := time.AfterFunc(lateTime, cancel)
-	go func() {
-		res := <-done
-		end.Stop()
-		r.endLateRead(res, c, began)
-	}()
-	return directResult{Reply{}, true, ctx.Err()}
-}
-
-// beginLateRead reports whether one more read may go on after its timeout.
-func (r *Relay) beginLateRead() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lateReads >= maxLateReads {
-		return false
-	}
-	r.lateReads++
-	return true
-}
-
-// endLateRead handles the end of a read that went on after its timeout.
-func (r *Relay) endLateRead(res directResult, c Call, began time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lateReads--
-	if res.served() {
-		if !res.reply.Sent.IsZero() {
-			began = res.reply.Sent
-		}
-		r.Latency.Observe(latency.Answer{Sent: began, Received: time.Now(), Wait: c.Wait})
-		r.recordServed()
-	}
-}
-
 // served reports whether the store has answered the call and serves this instance.
-func (d directResult) served() bool {
+func (d callResult) served() bool {
 	return d.err == nil && d.reply.Status != http.StatusServiceUnavailable && d.reply.Status != http.StatusTooManyRequests
 }
 
@@ -188,7 +124,7 @@
 
 // recordResult records the result of a direct call and reports whether Do should
 // return it. If not, the call should be tried through a peer.
-func (r *Relay) recordResult(res directResult, c Call, began time.Time) bool {
+func (r *Relay) recordResult(res callResult, c Call, began time.Time) bool {
 	timedOut := errors.Is(res.err, context.DeadlineExceeded)
 	if timedOut {
 		// A timeout shorter than the latency says nothing about the store. A write
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -48,11 +48,20 @@
 	ContentType string // of the body
 	Body        []byte
 	Wait        time.Duration // for which the store may hold the answer back
+	RepeatPath  string        // path of the same read without the wait; empty is Path
 }
 
 // writes reports whether the call may change the store.
 func (c Call) writes() bool { return c.Method != http.MethodGet }
 
+// repeated returns the call that repeats a read. It is answered at once.
+func (c Call) repeated() Call {
+	if c.RepeatPath != "" {
+		c.Path, c.Wait = c.RepeatPath, 0
+	}
+	return c
+}
+
 // Reply is the store's answer to a call.
 type Reply struct {
 	Status int
@@ -154,11 +163,41 @@
 	return !r.down
 }
 
-// callThroughPeer makes a call to the store through a peer. It fails at once
-// with *NoPeerError if there is no peer, or before noPeerUntil. The boolean is
-// false only if the call certainly did not leave this instance, or if the peer
-// did not make it.
+// callThroughPeer makes a call to the store through a peer. A read without an answer is
+// repeated through another one. It fails at once with *NoPeerError if there is no peer, or
+// before noPeerUntil. The boolean is false only if the call certainly did not leave this
+// instance, or if the peer did not make it.
 func (r *Relay) callThroughPeer(ctx context.Context, c Call) (Reply, bool, error) {
+	if c.writes() {
+		return r.callPeer(ctx, c)
+	}
+	res, pending := read(ctx, c, func(callCtx context.Context, c Call, repeated bool) callResult {
+		if repeated {
+			r.forgetPeer()
+		}
+		if deadline, ok := ctx.Deadline(); ok {
+			var cancel context.CancelFunc
+			callCtx, cancel = context.WithDeadline(callCtx, deadline)
+			defer cancel()
+		}
+		reply, sent, err := r.callPeer(callCtx, c)
+		return callResult{reply, sent, err}
+	})
+	if errors.Is(ctx.Err(), context.Canceled) {
+		pending.stop()
+	}
+	return res.reply, res.sent, res.err
+}
+
+// forgetPeer makes the next call choose a peer anew.
+func (r *Relay) forgetPeer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastPeer = ""
+}
+
+// callPeer makes one call through a peer.
+func (r *Relay) callPeer(ctx context.Context, c Call) (Reply, bool, error) {
 	peers := r.PeerAddrs()
 	r.mu.Lock()
 	waiting := time.Now().Before(r.noPeerUntil)
@@ -247,7 +286,7 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), max(probeTimeout, 2*r.Latency.Estimate()))
 		defer cancel()
-		res := r.directRead(ctx, r.ProbeCall, time.Now())
+		res := r.directRead(ctx, r.ProbeCall)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.probeDone = nil
