Decide nothing by a configuration that may be outdated

Cause: nobody looked at the age of the configuration, which the instance knows.

Change: from configApplyMs after the last read (longer while the store is slow, like the age of the log) an instance is not ready. A submission, a cancellation or a refusal with 401 or 404 first has the store read at once, for up to 250 ms (60 ms while the log is known to be unavailable); if that fails it is answered 503 as not run, with the Retry-After of an outage. Allowed reads of jobs are answered all the same, since they need no store.

TestOutdatedConfig plays a store that is silent for reads of the configuration only. The code before has no such state and accepts by the old key; with MaxConfigAge 0, which is that behaviour, the test fails at its first condition. TestRefresh and TestWatchRequest guard the parts.

--- a/internal/fleet/feed/status.go
+++ b/internal/fleet/feed/status.go
@@ -19,6 +19,10 @@
 	staleLatencies = 2
 )
 
+// StaleTime returns after which time without a successful read data is stale, which is the
+// given one unless the log is slow.
+func StaleTime(usual, slow time.Duration) time.Duration { return usual + staleLatencies*slow }
+
 // Status describes how current the state of a Feed is.
 type Status struct {
 	CaughtUp bool          // the log has been read to its end once
@@ -31,7 +35,7 @@
 
 // Fresh reports whether the state is recent enough to contain all accepted jobs
 // except the newest ones.
-func (s Status) Fresh() bool { return s.CaughtUp && s.Age < StaleAfter+staleLatencies*s.slow }
+func (s Status) Fresh() bool { return s.CaughtUp && s.Age < StaleTime(StaleAfter, s.slow) }
 
 // Status reports how current the state is.
 func (f *Feed) Status() Status {
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -59,8 +59,9 @@
 	PlanPause     time.Duration // shortest pause between two planning rounds; 0 is the leader's default
 	Sharing       bool          // keep tasks apart that slow each other down, see leader.Leader
 	Bounds        leader.Bounds
-	RecordBytes   int  // size of the largest record that the log accepts; 0 is unknown
-	WorkerHealth  bool // the leader uses what it learns of workers over all jobs
+	MaxConfigAge  time.Duration // see intake.Intake
+	RecordBytes   int           // size of the largest record that the log accepts; 0 is unknown
+	WorkerHealth  bool          // the leader uses what it learns of workers over all jobs
 }
 
 // NotReadyError reports why an instance accepts no new callers.
@@ -158,7 +159,7 @@
 		LoadSnapshot: n.LoadSnapshot, SaveSnapshot: n.SaveSnapshot, Retention: n.Settings.Bounds.Retention, Latency: n.Latency, Forward: n.Forward, MaxRecordBytes: n.Settings.RecordBytes,
 		ClaimDelay: n.Settings.claimDelay(), OnLead: n.startLeader, OnApply: n.recordApplied,
 	}
-	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger}
+	n.Intake = &intake.Intake{Feed: n.Feed, Policy: n.Policy, Node: n.Settings.Node, Logger: n.Logger, MaxConfigAge: n.Settings.MaxConfigAge}
 	n.Admission = admission.New(admission.NewLimits(n.Settings.MemoryLimit, n.Settings.MaxFiles), n.Logger, n.Metrics)
 	if n.Metrics != nil {
 		n.Metrics.AddGauge("feed", func() any { return n.Feed.Status() })
@@ -251,6 +252,8 @@
 		return &NotReadyError{"log not read"}
 	case !st.Fresh():
 		return &NotReadyError{"log unavailable"}
+	case n.Intake.ConfigOutdated():
+		return &NotReadyError{"configuration may be outdated"}
 	}
 	return nil
 }
--- a/internal/fleet/intake/intake.go
+++ b/internal/fleet/intake/intake.go
@@ -98,6 +98,10 @@
 	Node   string // name of the instance
 	Logger *zap.Logger
 	Now    func() time.Time // defaults to time.Now
+
+	// MaxConfigAge is the time since the store was last read for newer configurations after
+	// which the configuration may be outdated, unless the store is slow; 0 is no limit.
+	MaxConfigAge time.Duration
 }
 
 func (n *Intake) now() time.Time {
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -97,6 +97,7 @@
 type Current struct {
 	config   atomic.Pointer[Config]
 	lastRead atomic.Pointer[time.Time]
+	refresh  refresh
 
 	evacuationsMu sync.Mutex // held by writers of evacuations
 	evacuations   atomic.Pointer[map[string]Evacuation]
@@ -125,6 +126,7 @@
 func (p *Current) MarkRead() {
 	now := time.Now()
 	p.lastRead.Store(&now)
+	p.refresh.done()
 }
 
 // Status describes how current the configuration is.
