Count a job as begun when a worker says so, not when its start is decided

Cause: the record that decides a start made the phase of its job "running". Nothing told whether a worker carried the start out, and a run that ended as lost or stopped without having begun did not change the phase back. The number of pending jobs and the state of a job follow from the phase; so did the "begun" of the queue summary in the log. Planning, admission and cancellation ask only whether the phase is final.

Change: the leader writes a record, Begin, once per job, when a worker has accepted a start, reports a run as running or lists its end, also of a run that was given up or whose start had no answer. An end that only a begun task has (done, failed, lapsed, broken, alone) and a resumption count as well. Start records say that Begin follows: starts of an earlier version, which writes none, count as begun as before, and such a version ignores the new record. A new leader learns what has begun from the state and from the workers' reports.

The jobs that have not begun are counted by queue as records are applied.

--- a/internal/fleet/leader/deliver.go
+++ b/internal/fleet/leader/deliver.go
@@ -116,6 +116,9 @@
 	switch {
 	case err == nil:
 		n.accepted = true
+		if records := l.noteBegun(n.unit.Job); records != nil {
+			go l.Feed.Propose(l.Epoch, records...)
+		}
 		l.Logger.Debug("run started", zap.String("worker", w.id), zap.Stringer("unit", n.unit), zap.Int("run", n.key.run), zap.Int("member", n.member), zap.Int("try", try))
 		w.wakeSession()
 		return true
--- a/internal/fleet/leader/leader.go
+++ b/internal/fleet/leader/leader.go
@@ -61,6 +61,7 @@
 	withOrphans    map[string]*worker             // workers with orphan runs, and some that had them
 	unsentStarts   map[*run]int64                 // bytes of the start requests that are not sent yet
 	proposedStarts map[ledger.UnitID]ledger.Start // start records that are not applied yet
+	begun          map[string]bool                // jobs whose begin is stored or proposed
 	reservations   map[ledger.UnitID]reservation
 	waits          map[ledger.UnitID]*unitWait       // of the last planning round
 	displaced      map[ledger.UnitID][]ledger.UnitID // by unit that runs or starts: those whose reserved resources it uses
@@ -127,6 +128,7 @@
 	l.withOrphans = make(map[string]*worker)
 	l.unsentStarts = make(map[*run]int64)
 	l.proposedStarts = make(map[ledger.UnitID]ledger.Start)
+	l.begun = make(map[string]bool)
 	l.reservations = make(map[ledger.UnitID]reservation)
 	l.waits = make(map[ledger.UnitID]*unitWait)
 	l.displaced = make(map[ledger.UnitID][]ledger.UnitID)
@@ -147,6 +149,7 @@
 		l.ensureWorker(e.ID).setEntry(e)
 	}
 	for _, js := range s.Jobs {
+		l.inheritBegun(js)
 		for i := range js.Units {
 			l.inheritRuns(js, &js.Units[i])
 			l.updateLost(js, &js.Units[i])
--- a/internal/fleet/leader/planner.go
+++ b/internal/fleet/leader/planner.go
@@ -187,7 +187,7 @@
 	l.countContended(out.Placements)
 	for _, st := range out.Placements {
 		u := st.Unit
-		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: time.Now().UnixMilli()}
+		start := ledger.Start{Epoch: l.Epoch, Unit: u.ID, Run: u.Run, Workers: st.Workers, At: time.Now().UnixMilli(), ReportsBegin: true}
 		for _, id := range st.Workers {
 			start.Incarnations = append(start.Incarnations, l.workers[id].incarnation)
 		}
--- a/internal/fleet/leader/report.go
+++ b/internal/fleet/leader/report.go
@@ -39,6 +39,7 @@
 	for _, t := range rep.Running {
 		key := runKey{t.Task, t.Run}
 		present[key] = true
+		records = append(records, l.noteBegun(t.Task.Job)...)
 		n := w.runs[key]
 		if n == nil && !ex.sent.Before(w.reportSentAt) { // otherwise it may have ended since
 			var resume []ledger.Record
@@ -58,6 +59,7 @@
 		present[key] = true
 		if t.Seq > w.lastEndSeq {
 			w.lastEndSeq = t.Seq
+			records = append(records, l.noteBegun(t.Task.Job)...)
 			records = append(records, l.recordEnd(w, t, now)...)
 		}
 	}
--- a/internal/fleet/leader/tally.go
+++ b/internal/fleet/leader/tally.go
@@ -121,6 +121,7 @@
 		return
 	}
 	l.tally = newTally(now)
+	l.forgetBegun(s)
 	l.Logger.Info("planning summary", zap.Int("rounds", t.rounds), zap.Duration("longest", t.longest), zap.Duration("busy", t.busy), zap.Duration("time", now.Sub(t.since)), zap.Int("headroom", t.headroom))
 	queues := l.countQueues(s, l.now())
 	for kind := range t.runs {
--- a/internal/fleet/ledger/apply.go
+++ b/internal/fleet/ledger/apply.go
@@ -4,6 +4,9 @@
 // Records of an epoch that has ended, of an unknown job or of a run that is not
 // current, and repeated claims have no effect.
 func (s *State) Apply(r Record) bool {
+	id := r.job()
+	s.countQueued(id, -1)
+	defer s.countQueued(id, 1)
 	switch {
 	case r.Claim != nil:
 		return s.applyClaim(*r.Claim)
@@ -25,6 +28,8 @@
 		return s.applyRewrite(r.Rewrite)
 	case r.Resume != nil:
 		return s.applyResume(*r.Resume)
+	case r.Begin != nil:
+		return s.applyBegin(*r.Begin)
 	case r.Join != nil:
 		s.Peers[r.Join.Instance] = r.Join.Addr
 		s.Joins[r.Join.Instance] = *r.Join
@@ -114,10 +119,21 @@
 			u.Members[i].Incarnation = r.Incarnations[i]
 		}
 	}
-	js.Phase = Running
+	if !r.ReportsBegin {
+		js.begin()
+	}
 	return true
 }
 
+// applyBegin notes that a task of a job has begun.
+func (s *State) applyBegin(r Begin) bool {
+	if !s.acceptEpoch(r.Epoch) {
+		return false
+	}
+	js := s.Jobs[r.Job]
+	return js != nil && js.begin()
+}
+
 // applyEnd marks one member of the current run as ended, and finishes the run
 // when it is complete. It also applies the end of a lost member.
 func (s *State) applyEnd(r End) bool {
@@ -137,6 +153,9 @@
 	}
 	m := &u.Members[r.Member]
 	m.Ended = true
+	if r.Outcome.provesBegin() {
+		js.begin()
+	}
 	if r.Checkpoint != "" {
 		u.Checkpoint = r.Checkpoint
 	}
@@ -245,15 +264,3 @@
 		}
 	}
 }
-
-// Pending returns the number of accepted jobs of a queue that have not started
-// any task.
-func (s *State) Pending(queue string) int {
-	n := 0
-	for _, js := range s.Jobs {
-		if js.Phase == Queued && js.Job.Queue == queue {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/fleet/ledger/lost.go
+++ b/internal/fleet/ledger/lost.go
@@ -108,6 +108,7 @@
 	m := u.takeLost(u.lostIndex(r.Run, 0))
 	u.Members = []Member{{Worker: m.Worker, Incarnation: r.Incarnation}}
 	u.Resumed = true
+	js.begin()
 	return true
 }
 
@@ -120,6 +121,9 @@
 		return false
 	}
 	m := u.takeLost(i)
+	if r.Outcome.provesBegin() {
+		s.begin()
+	}
 	if r.Checkpoint != "" && (r.Run == u.Run || u.Checkpoint == "") {
 		u.Checkpoint = r.Checkpoint
 	}
--- a/internal/fleet/ledger/record.go
+++ b/internal/fleet/ledger/record.go
@@ -18,6 +18,7 @@
 	Rewrite   *JobState     `cbor:"8,keyasint,omitempty"`
 	Join      *Join         `cbor:"9,keyasint,omitempty"`
 	Resume    *Resume       `cbor:"10,keyasint,omitempty"`
+	Begin     *Begin        `cbor:"11,keyasint,omitempty"`
 
 	Offset uint64 `cbor:"-"` // in the log; set when the record is read from there
 }
@@ -75,6 +76,16 @@
 	Workers      []string `cbor:"4,keyasint"`
 	Incarnations []int64  `cbor:"5,keyasint,omitempty"` // of the workers
 	At           int64    `cbor:"6,keyasint,omitempty"` // Unix ms
+
+	// ReportsBegin tells that a Begin record follows when the first task has begun. Versions
+	// before it write none, so that their starts count as begun.
+	ReportsBegin bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Begin records that a task of a job has begun: its worker has accepted or reported it.
+type Begin struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	Job   string `cbor:"2,keyasint"`
 }
 
 // RunOutcome is the outcome of the run of one task.
@@ -92,6 +103,15 @@
 	WorkerCrashed  RunOutcome = "crashed" // its worker crashed, and the run may be the cause
 )
 
+// provesBegin reports whether only a task that has begun has the outcome.
+func (o RunOutcome) provesBegin() bool {
+	switch o {
+	case Done, Failed, LeaseExpired, GangEnded, GangIncomplete:
+		return true
+	}
+	return false // it may have ended without having begun
+}
+
 // End records that one member of a run has ended.
 type End struct {
 	Epoch      uint64     `cbor:"1,keyasint"`
--- a/internal/fleet/ledger/snapshot.go
+++ b/internal/fleet/ledger/snapshot.go
@@ -102,7 +102,7 @@
 		s.early.add(c)
 	}
 	for i := range n.Jobs {
-		s.applyRewrite(&n.Jobs[i])
+		s.Apply(Record{Rewrite: &n.Jobs[i]})
 	}
 	return s, n.Next, nil
 }
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -5,13 +5,22 @@
 
 // The phases of a job. The last three are final.
 const (
-	Queued    Phase = "queued"
-	Running   Phase = "running" // at least one task has started
+	Queued    Phase = "queued"  // no task has begun; a start may have been decided
+	Running   Phase = "running" // at least one task has begun on a worker
 	Finished  Phase = "done"
 	JobFailed Phase = "failed" // a unit has used up the attempts that its queue allows
 	Cancelled Phase = "cancelled"
 )
 
+// begin notes that a task of the job has begun. It reports whether that is new.
+func (s *JobState) begin() bool {
+	if s.Phase != Queued {
+		return false
+	}
+	s.Phase = Running
+	return true
+}
+
 // Final reports whether a job in the phase never changes its phase again.
 func (p Phase) Final() bool { return p == Finished || p == JobFailed || p == Cancelled }
 
@@ -112,10 +121,11 @@
 	Peers         map[string]string // address of each instance by its name
 	Joins         map[string]Join   // newest one of each instance by its name
 
-	early earlyCancels
+	early  earlyCancels
+	queued map[string]int // number of the jobs that have not begun, by queue
 }
 
 // NewState returns the state for an empty log.
 func NewState() *State {
-	return &State{Jobs: make(map[string]*JobState), Peers: make(map[string]string), Joins: make(map[string]Join), NoLeader: true}
+	return &State{Jobs: make(map[string]*JobState), Peers: make(map[string]string), Joins: make(map[string]Join), NoLeader: true, queued: make(map[string]int)}
 }
