Do not repeat a read that is about to time out

Cause: the first repeat and the usual timeout of a read are due at the same time, 1.2 s beyond its wait. If the repeat came first, it replaced the call that had been pending as the one whose late answer is awaited, so that a slow store was recognized 1.2 s later.

--- a/internal/fleet/relay/read.go
+++ b/internal/fleet/relay/read.go
@@ -14,6 +14,10 @@
 	// call into a silent store is never answered, and the latency may be known wrongly.
 	repeatAfter = 1200 * time.Millisecond
 
+	// minRepeatTime is the shortest time until the timeout of a read for which it is
+	// repeated. The first call then goes on as a late one.
+	minRepeatTime = latency.SlowThreshold
+
 	// lateTime is how long a direct read without an answer goes on after its
 	// timeout. A late answer shows that the store is slow and not unavailable.
 	lateTime = 3 * time.Second
@@ -71,6 +75,9 @@
 			}
 			newest = nil
 		case <-repeat.C:
+			if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minRepeatTime {
+				continue
+			}
 			newest.stop()
 			newest = startRead(ctx, c.repeated(), true, call)
 			repeat.Reset(newest.call.Wait + repeatAfter)
--- a/internal/fleet/relay/read_test.go
+++ b/internal/fleet/relay/read_test.go
@@ -101,3 +101,24 @@
 		is.Equal(calls.Load(), int32(2))
 	})
 }
+
+// Guards against a read that is repeated when it times out, so that its first call is not
+// answered late.
+func TestNoRepeatAtTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var calls atomic.Int32
+		r := &Relay{CallDirect: func(context.Context, Call) (Reply, bool, error) {
+			calls.Add(1)
+			time.Sleep(2 * time.Second)
+			return Reply{Status: http.StatusOK}, true, nil
+		}, PeerAddrs: func() []string { return nil }, Logger: zap.NewNop(), Latency: &latency.Tracker{}}
+		ctx, cancel := context.WithTimeout(t.Context(), repeatAfter)
+		defer cancel()
+		_, _, err := r.Do(ctx, Call{Method: http.MethodGet})
+		is.Equal(err, context.DeadlineExceeded)
+		time.Sleep(time.Minute)
+		is.Equal(calls.Load(), int32(1))
+		is.Equal(r.Latency.Estimate(), 2*time.Second)
+	})
+}
