--- a/internal/fleet/feed/hedge_test.go
+++ b/internal/fleet/feed/hedge_test.go
@@ -175,3 +175,34 @@
 		time.Sleep(10 * time.Second) // until the other calls have ended
 	})
 }
+
+// Guards against a caller's append that is not repeated before its deadline, because the
+// latency is known wrongly when it begins.
+func TestAppendAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const ms, silence, deadline = time.Millisecond, 2 * time.Second, 2950 * time.Millisecond
+		began := time.Now()
+		f := &Feed{Append: func(ctx context.Context, _ Batch) (uint64, error) {
+			if time.Since(began) < silence {
+				<-ctx.Done()
+				return 0, &UncertainError{ctx.Err()}
+			}
+			time.Sleep(4 * ms)
+			return 0, nil
+		}}
+		f.init()
+		f.Latency.Observe(latency.Answer{Sent: began.Add(-3 * time.Second), Received: began})
+		for i := range 5 { // reads are answered after the silence
+			time.AfterFunc(silence+time.Duration(i)*100*ms, func() {
+				now := time.Now()
+				f.Latency.Observe(latency.Answer{Sent: now.Add(-4 * ms), Received: now})
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), deadline)
+		defer cancel()
+		is.NoErr(f.Write(ctx, ledger.Record{Join: &ledger.Join{}}))
+		is.True(time.Since(began) < deadline)
+		time.Sleep(10 * time.Second) // until the other calls have ended
+	})
+}
