--- a/internal/fleet/latency/disturbance_test.go
+++ b/internal/fleet/latency/disruption_test.go
@@ -11,7 +11,7 @@
 
 // Guards against an estimate that takes a pause of the process or an outage of the store for
 // its latency, and against one that misses a slow store.
-func TestDisturbance(t *testing.T) {
+func TestDisruption(t *testing.T) {
 	const ms = time.Millisecond
 	answer := func(t *Tracker, sent time.Time, wait time.Duration) { t.Observe(Answer{sent, time.Now(), wait}) }
 	tests := []struct {
--- a/internal/fleet/latency/latency.go
+++ b/internal/fleet/latency/latency.go
@@ -75,7 +75,7 @@
 	slow     bool
 
 	doubtful  doubt
-	disturbed time.Time // calls sent before then may have taken longer for other reasons
+	disrupted time.Time // calls sent before then may have taken longer for other reasons
 	lastTick  time.Time // last time that WatchPauses ran; zero if it is not running
 }
 
@@ -88,7 +88,7 @@
 
 // Observe adds an answer. The estimate rises to an observation at once, and falls by at
 // most a half with each, because single answers are fast on a slow store. It falls at once
-// if a doubtful answer is refuted. A call that was sent before a disturbance shows an upper
+// if a doubtful answer is refuted. A call that was sent before a disruption shows an upper
 // bound only.
 func (t *Tracker) Observe(a Answer) {
 	if t == nil {
@@ -97,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.notePause(time.Now())
-	if a.Sent.Before(t.disturbed) {
+	if a.Sent.Before(t.disrupted) {
 		a.Wait = UnknownWait
 	}
 	t.answered = a.Received
--- a/internal/fleet/latency/pause.go
+++ b/internal/fleet/latency/pause.go
@@ -15,7 +15,7 @@
 )
 
 // WatchPauses notices when the process was paused, by a signal or for lack of processor
-// time, until the context ends. A pause is a disturbance of the calls that were pending:
+// time, until the context ends. A pause is a disruption of the calls that were pending:
 // their answers may have arrived at any time during it.
 func (t *Tracker) WatchPauses(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
@@ -43,10 +43,10 @@
 	t.lastTick = now
 }
 
-// notePause notes a disturbance if the process has been paused since the last tick. After
+// notePause notes a disruption if the process has been paused since the last tick. After
 // a pause an answer may be handled before the next tick. The caller holds the lock.
 func (t *Tracker) notePause(now time.Time) {
 	if !t.lastTick.IsZero() && now.Sub(t.lastTick) >= minPause {
-		t.disturbed = now
+		t.disrupted = now
 	}
 }
